--- /dev/null
+++ b/source/base/log.cc
@@ -0,0 +1,213 @@
+#include "base/log.h"
+
+#include <easylogging++.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace almondtally {
+namespace {
+
+struct LogState {
+  std::string process;
+  bool quiet = false;
+};
+
+LogState& State() {
+  static LogState state;
+  return state;
+}
+
+const EventInfo& Find(Event event) {
+  const auto& all = EventCatalogue();
+  const auto it = std::lower_bound(
+      all.begin(), all.end(), event,
+      [](const EventInfo& info, Event e) { return info.event < e; });
+  assert(it != all.end() && it->event == event);
+  return *it;
+}
+
+std::string_view TypeName(LogType type) {
+  switch (type) {
+    case LogType::kProcess:
+      return "process";
+    case LogType::kRouting:
+      return "routing";
+    case LogType::kPlacement:
+      return "placement";
+    case LogType::kLease:
+      return "lease";
+    case LogType::kConfig:
+      return "config";
+    case LogType::kMembership:
+      return "membership";
+    case LogType::kPlatform:
+      return "platform";
+    case LogType::kWire:
+      return "wire";
+  }
+  return "unknown";
+}
+
+bool NeedsQuotes(const std::string& value) {
+  return value.empty() ||
+         value.find_first_of(" =\"\n\r\t\\") != std::string::npos;
+}
+
+void AppendValue(std::string& out, const std::string& value) {
+  if (!NeedsQuotes(value)) {
+    out += value;
+    return;
+  }
+  out += '"';
+  for (const char c : value) {
+    if (c == '\n' || c == '\r' || c == '\t') {
+      out += ' ';
+      continue;
+    }
+    if (c == '"' || c == '\\') out += '\\';
+    out += c;
+  }
+  out += '"';
+}
+
+}  // namespace
+
+const std::vector<EventInfo>& EventCatalogue() {
+  using enum LogType;
+  using enum LogLevel;
+  static const std::vector<EventInfo> all = {
+      {Event::kProcessStarted, "process.started", kProcess, kInfo,
+       "the process listens and its settings were accepted"},
+      {Event::kProcessDraining, "process.draining", kProcess, kInfo,
+       "a planned stop began: nothing new is taken"},
+      {Event::kProcessStopped, "process.stopped", kProcess, kInfo,
+       "the process ends; open=0 means nothing was cut"},
+      {Event::kSettingsRejected, "settings.rejected", kProcess, kError,
+       "a flag or environment variable was refused at start"},
+      {Event::kRequestRouted, "request.routed", kRouting, kInfo,
+       "a request was sent to a target, with the reason for the choice"},
+      {Event::kRequestRefused, "request.refused", kRouting, kWarning,
+       "a request was refused and has not run"},
+      {Event::kRequestUnknown, "request.unknown", kRouting, kWarning,
+       "the link was lost and the target could not be asked in time"},
+      {Event::kRequestWithdrawn, "request.withdrawn", kRouting, kInfo,
+       "after a lost link the target told what became of a request"},
+      {Event::kRequestAdmitted, "request.admitted", kRouting, kInfo,
+       "a target gave a request one of its slots"},
+      {Event::kRequestReplayed, "request.replayed", kRouting, kInfo,
+       "an idempotency key was seen before; the first answer was returned"},
+      {Event::kTargetEjected, "target.ejected", kRouting, kWarning,
+       "a target failed repeatedly and gets no requests for a while"},
+      {Event::kTaskPlaced, "task.placed", kPlacement, kInfo,
+       "a task was assigned to a VM, with the reason for the choice"},
+      {Event::kTaskUnplaced, "task.unplaced", kPlacement, kInfo,
+       "no VM can take a task at present, with the reason"},
+      {Event::kTaskRefused, "task.refused", kPlacement, kWarning,
+       "the target process refused a task that an entry had placed"},
+      {Event::kTaskStarted, "task.started", kPlacement, kInfo,
+       "a worker runs a task under a lease"},
+      {Event::kTaskFinished, "task.finished", kPlacement, kInfo,
+       "a task ended and its outcome was committed"},
+      {Event::kTaskEvicted, "task.evicted", kPlacement, kWarning,
+       "a task was stopped to relieve its VM and will resume elsewhere"},
+      {Event::kTaskLost, "task.lost", kPlacement, kWarning,
+       "the fence wait of a VM is over; its task is placed again"},
+      {Event::kTaskCancelled, "task.cancelled", kPlacement, kInfo,
+       "a cancellation was committed"},
+      {Event::kTaskThrottled, "task.throttled", kPlacement, kInfo,
+       "a batch task was slowed, or released, because of pressure"},
+      {Event::kJobAccepted, "job.accepted", kPlacement, kInfo,
+       "a job was written to the table"},
+      {Event::kJobParked, "job.parked", kPlacement, kWarning,
+       "a job can run on no VM at present; it blocks nothing behind it"},
+      {Event::kWorkerQuarantined, "worker.quarantined", kPlacement, kWarning,
+       "a worker failed several different tasks and is set aside"},
+      {Event::kTaskFailed, "task.failed", kPlacement, kWarning,
+       "a task failed on its worker, with the number of tries"},
+      {Event::kFenceWritten, "fence.written", kLease, kWarning,
+       "a silent VM was fenced; its tasks wait for a full lease"},
+      {Event::kFenceObserved, "fence.observed", kLease, kWarning,
+       "a target found itself fenced and stopped its exclusive tasks"},
+      {Event::kProofExpired, "proof.expired", kLease, kWarning,
+       "no recent proof against a fence: exclusive tasks are frozen"},
+      {Event::kProofRestored, "proof.restored", kLease, kInfo,
+       "a proof arrived: frozen tasks go on in place"},
+      {Event::kConfigAccepted, "config.accepted", kConfig, kInfo,
+       "a configuration change was committed"},
+      {Event::kConfigApplied, "config.applied", kConfig, kInfo,
+       "a process put a configuration version in force"},
+      {Event::kConfigConflict, "config.conflict", kConfig, kWarning,
+       "two operators changed the same object; the later was refused"},
+      {Event::kLimitOverridden, "limit.overridden", kConfig, kWarning,
+       "a declared limit is higher than what the VM bears; the lower holds"},
+      {Event::kTargetJoined, "target.joined", kMembership, kInfo,
+       "a target announced itself"},
+      {Event::kTargetLeaving, "target.leaving", kMembership, kInfo,
+       "a target announced that it leaves"},
+      {Event::kTargetLost, "target.lost", kMembership, kWarning,
+       "a target has been silent for too long"},
+      {Event::kEntryJoined, "entry.joined", kMembership, kInfo,
+       "another entry was seen alive"},
+      {Event::kEntryLost, "entry.lost", kMembership, kWarning,
+       "another entry's row stopped changing"},
+      {Event::kPlatformError, "platform.error", kPlatform, kWarning,
+       "a call of the table or object store failed"},
+      {Event::kPlatformRestored, "platform.restored", kPlatform, kInfo,
+       "the table answers again"},
+      {Event::kPeerGarbage, "peer.garbage", kWire, kWarning,
+       "a peer sent a message that cannot be decoded"},
+      {Event::kBadInput, "input.rejected", kWire, kWarning,
+       "a caller or an operator sent something invalid"},
+  };
+  return all;
+}
+
+std::string FormatLogLine(Event event, std::initializer_list<LogField> fields) {
+  const EventInfo& info = Find(event);
+  std::string out = "event=" + std::to_string(static_cast<int>(event));
+  out += " name=";
+  out += info.name;
+  out += " type=";
+  out += TypeName(info.type);
+  for (const LogField& field : fields) {
+    out += ' ';
+    out += field.key;
+    out += '=';
+    AppendValue(out, field.value);
+  }
+  return out;
+}
+
+void InitLog(const std::string& process, bool quiet) {
+  State().process = process;
+  State().quiet = quiet;
+  el::Configurations conf;
+  conf.setToDefault();
+  conf.setGlobally(el::ConfigurationType::ToFile, "false");
+  conf.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  conf.setGlobally(el::ConfigurationType::Format,
+                   "%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level process=" +
+                       process + " %msg");
+  el::Loggers::reconfigureAllLoggers(conf);
+  el::Loggers::addFlag(el::LoggingFlag::DisableApplicationAbortOnFatalLog);
+}
+
+void Log(Event event, std::initializer_list<LogField> fields) {
+  const LogLevel level = Find(event).level;
+  if (level == LogLevel::kInfo && State().quiet) return;
+  const std::string line = FormatLogLine(event, fields);
+  switch (level) {
+    case LogLevel::kInfo:
+      LOG(INFO) << line;
+      break;
+    case LogLevel::kWarning:
+      LOG(WARNING) << line;
+      break;
+    case LogLevel::kError:
+      LOG(ERROR) << line;
+      break;
+  }
+}
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/base/logging_setup.cc
@@ -0,0 +1,3 @@
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
--- /dev/null
+++ b/source/entry/announcements.cc
@@ -0,0 +1,153 @@
+#include "entry/announcements.h"
+
+#include "base/log.h"
+#include "entry/members.h"
+
+namespace almondtally {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+/// A VM unknown for so long is forgotten.
+constexpr Duration kForgetVm{600'000};
+constexpr Duration kAbsentJobAge{60'000};
+
+bool IsForTargets(const ConfigChange& change, const VmId& vm) {
+  if (change.kind == ConfigKind::kService) return true;
+  return change.kind == ConfigKind::kVm && change.name == vm.value;
+}
+
+/// What a target at `from` needs to be at the version in force here.
+std::vector<ConfigUpdate> UpdateFor(const ConfigLog& log, const VmId& vm,
+                                    ConfigVersion from) {
+  const Config& config = log.config();
+  if (from >= config.version) return {};
+  ConfigUpdate update;
+  update.version = config.version;
+  std::vector<ConfigChange> changes;
+  if (const auto recent = log.ChangesAfter(from)) {
+    changes = *recent;
+  } else {
+    update.whole = true;
+    for (const auto& [key, object] : config.objects) {
+      changes.push_back(
+          {object.version, ChangeId(), key.kind, key.name, object.value});
+    }
+  }
+  for (ConfigChange& change : changes) {
+    if (IsForTargets(change, vm)) update.changes.push_back(std::move(change));
+  }
+  return {update};
+}
+
+void TakeLoads(EntryContext& context, const Announce& announce) {
+  const MonotonicTime now = context.loop.now();
+  for (const ServiceLoad& load : announce.services) {
+    TakeLoad(context.targets[load.service], announce, load, now);
+  }
+  for (auto& [service, targets] : context.targets) {
+    const bool still =
+        std::any_of(announce.services.begin(), announce.services.end(),
+                    [&](const auto& it) { return it.service == service; });
+    if (!still) targets.erase(announce.vm);
+  }
+}
+
+std::vector<WorkerRun> TakeEndedRuns(EntryContext& context,
+                                     const Announce& announce) {
+  std::vector<WorkerRun> acknowledged;
+  for (const EndedRun& ended : announce.ended) {
+    const EndedEffect effect =
+        TakeEnded(context.board, ViewOf(context), announce.vm, ended);
+    if (effect == EndedEffect::kAcknowledge) {
+      acknowledged.push_back(ended.run);
+    }
+    if (effect != EndedEffect::kUnknownJob) continue;
+    const JobId& job = ended.run.task.job;
+    const auto absent = context.absent_jobs.find(job);
+    const bool is_absent = absent != context.absent_jobs.end() &&
+                           context.loop.now() - absent->second < kAbsentJobAge;
+    if (is_absent) {
+      acknowledged.push_back(ended.run);
+    } else {
+      context.unknown_jobs.insert(job);
+    }
+  }
+  return acknowledged;
+}
+
+void LogEffect(const Announce& announce, AnnounceEffect effect) {
+  const Event event = effect == AnnounceEffect::kLeaving ? Event::kTargetLeaving
+                                                         : Event::kTargetJoined;
+  if (effect == AnnounceEffect::kNone) return;
+  Log(event,
+      {{"vm", announce.vm.value},
+       {"address", announce.address},
+       {"data_centre", announce.data_centre.value},
+       {"incarnation", static_cast<int64_t>(announce.incarnation.value)}});
+}
+
+AnnounceAnswer MakeAnswer(EntryContext& context, const Announce& announce) {
+  AnnounceAnswer answer;
+  answer.entry = context.settings.id;
+  for (const EntryPeer& entry : LiveEntries(context)) {
+    answer.entries.push_back(ToString(entry.address));
+  }
+  if (const auto as_of = context.config.current_as_of()) {
+    FenceProof proof;
+    proof.generation = CurrentGeneration(context.config.config(), announce.vm);
+    proof.read_age_ms = (context.loop.now() - *as_of).count();
+    answer.proof.push_back(proof);
+  }
+  answer.config = UpdateFor(context.config, announce.vm, announce.config);
+  return answer;
+}
+
+}  // namespace
+
+void HandleAnnounce(EntryContext& context, const Exchange& exchange) {
+  WireReason why;
+  const auto announce = DecodeMessage<Announce>(exchange.request().body, why);
+  const auto address =
+      announce ? ParseAddress(announce->address) : std::nullopt;
+  if (!announce || !address || announce->vm.empty()) {
+    Log(Event::kPeerGarbage, {{"path", exchange.request().path},
+                              {"reason", announce ? "no address" : why.text}});
+    context.metrics.CountBadInput();
+    return exchange.Answer(kBadRequest, {}, "not an announcement");
+  }
+  const AnnounceEffect effect =
+      TakeAnnounce(context.vms, *announce, *address, context.loop.now());
+  LogEffect(*announce, effect);
+  if (effect == AnnounceEffect::kRestarted) {
+    Unconfirm(context.board, announce->vm);
+  }
+  TakeLoads(context, *announce);
+  AnnounceAnswer answer = MakeAnswer(context, *announce);
+  answer.acknowledged = TakeEndedRuns(context, *announce);
+  exchange.Answer(kOk, {}, EncodeMessage(answer));
+}
+
+void DropSilentTargets(EntryContext& context) {
+  const MonotonicTime now = context.loop.now();
+  for (auto& [service, targets] : context.targets) {
+    std::erase_if(targets, [&](const auto& it) {
+      const auto vm = context.vms.find(it.first);
+      const bool lost =
+          vm == context.vms.end() || IsSilent(vm->second, now, kSilence);
+      if (lost) {
+        Log(Event::kTargetLost,
+            {{"vm", it.first.value}, {"service", service.value}});
+      }
+      return lost;
+    });
+  }
+  std::erase_if(context.vms, [&](const auto& it) {
+    return IsSilent(it.second, now, kForgetVm);
+  });
+  std::erase_if(context.absent_jobs, [&](const auto& it) {
+    return now - it.second > kAbsentJobAge;
+  });
+}
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/entry/metrics.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+#include "base/clock.h"
+
+namespace almondtally {
+
+/// Metrics of an entry process, served on /metrics.
+class Metrics {
+ public:
+  Metrics();
+
+  void CountRequest(const std::string& service, const std::string& outcome,
+                    Duration took);
+  void CountRefusal(const std::string& reason);
+  void CountRetry();
+  void CountBadInput();
+  void CountTaskEvent(const std::string& event);
+
+  void SetGauge(const std::string& name, double value);
+
+  /// @return all metrics in the text format of Prometheus.
+  std::string Text() const;
+
+ private:
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Histogram>& latency_;
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Counter>& refusals_;
+  prometheus::Family<prometheus::Counter>& events_;
+  prometheus::Family<prometheus::Gauge>& gauges_;
+};
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/peer/links.cc
@@ -0,0 +1,48 @@
+#include "peer/links.h"
+
+#include <utility>
+
+namespace almondtally {
+namespace {
+
+constexpr size_t kMaxAnswerBytes = 16 << 20;
+constexpr int kOk = 200;
+
+}  // namespace
+
+PeerLink& Links::To(const Address& address) {
+  auto& link = links_[address];
+  if (link == nullptr) link = std::make_unique<PeerLink>(loop_, address);
+  return *link;
+}
+
+uint64_t Links::bytes_out() const {
+  uint64_t sum = 0;
+  for (const auto& [address, link] : links_) sum += link->bytes_out();
+  return sum;
+}
+
+uint64_t Links::bytes_in() const {
+  uint64_t sum = 0;
+  for (const auto& [address, link] : links_) sum += link->bytes_in();
+  return sum;
+}
+
+void Links::SendBytes(const Address& to, const char* path, std::string bytes,
+                      Duration timeout, BytesFn fn) {
+  HttpRequest request{"POST", path, {}, std::move(bytes)};
+  auto on_answer = [fn = std::move(fn)](std::optional<WholeAnswer> answer,
+                                        CallEnd end) {
+    if (!answer) {
+      return fn(std::nullopt, {end.error, std::string(ToString(end.error))});
+    }
+    if (answer->status != kOk) {
+      return fn(std::nullopt, {WireError::kRefusedByPeer, answer->body});
+    }
+    fn(std::move(answer->body), {});
+  };
+  To(to).Start(std::move(request), timeout,
+               CollectWhole(kMaxAnswerBytes, std::move(on_answer)));
+}
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/peer/links.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "peer/messages.h"
+#include "wire/peer_link.h"
+
+namespace almondtally {
+
+/// Links to other processes, made on demand.
+class Links {
+ public:
+  explicit Links(Loop& loop) : loop_(loop) {}
+
+  PeerLink& To(const Address& address);
+  /// Closes the link; calls on it end as lost.
+  void Drop(const Address& address) { links_.erase(address); }
+  /// @return bytes sent and received on all links.
+  uint64_t bytes_out() const;
+  uint64_t bytes_in() const;
+
+  /// Sends a typed message and decodes the typed answer.
+  template <typename Answer, typename Message>
+  void Send(const Address& to, const char* path, const Message& message,
+            Duration timeout,
+            std::function<void(std::optional<Answer>, const WireReason&)> fn) {
+    SendBytes(to, path, EncodeMessage(message), timeout,
+              [fn = std::move(fn)](std::optional<std::string> bytes,
+                                   const WireReason& why) {
+                if (!bytes) return fn(std::nullopt, why);
+                WireReason decode_why;
+                auto answer = DecodeMessage<Answer>(*bytes, decode_why);
+                fn(std::move(answer), decode_why);
+              });
+  }
+
+ private:
+  using BytesFn =
+      std::function<void(std::optional<std::string>, const WireReason&)>;
+
+  void SendBytes(const Address& to, const char* path, std::string bytes,
+                 Duration timeout, BytesFn fn);
+
+  Loop& loop_;
+  std::map<Address, std::unique_ptr<PeerLink>> links_;
+};
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/peer/request_headers.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "peer/messages.h"
+
+namespace almondtally {
+
+/// Headers between callers, entries and targets; all lower case.
+namespace header {
+/// Caller to entry: repeats of one key run at most once.
+inline constexpr const char* kIdempotencyKey = "idempotency-key";
+/// Caller to entry and entry to target: time left, in ms.
+inline constexpr const char* kDeadline = "x-almondtally-deadline-ms";
+/// To the caller: ran, not_run or unknown.
+inline constexpr const char* kOutcome = "x-almondtally-outcome";
+inline constexpr const char* kReason = "x-almondtally-reason";
+inline constexpr const char* kRequest = "x-almondtally-request";
+/// Entry to target.
+inline constexpr const char* kKeyed = "x-almondtally-keyed";
+inline constexpr const char* kAsOf = "x-almondtally-as-of";
+inline constexpr const char* kIncarnation = "x-almondtally-incarnation";
+/// Target to entry: "in_use/queued/limit".
+inline constexpr const char* kLoad = "x-almondtally-load";
+}  // namespace header
+
+/// What became of a request.
+enum class Outcome : uint8_t { kRan, kNotRun, kUnknown };
+
+std::string_view ToString(Outcome outcome);
+
+/// @return true for methods that may be sent again (RFC 9110, 9.2.2).
+bool IsIdempotent(std::string_view method);
+
+/// A service's name and the rest of the path of "/svc/NAME/REST".
+struct ServicePath {
+  ServiceId service;
+  std::string rest;
+};
+
+/// @return the parts, or empty if the path is not of that form.
+std::optional<ServicePath> SplitServicePath(const std::string& path);
+
+/// @return headers that may be passed on: without those of one hop and
+/// without ours.
+Headers EndToEndHeaders(const Headers& headers);
+
+/// @return the value of a header that holds a whole number.
+std::optional<int64_t> NumberHeader(const Headers& headers,
+                                    std::string_view name);
+
+/// The JSON body of a refusal.
+std::string RefusalBody(Outcome outcome, const std::string& reason,
+                        const RequestId& request);
+
+/// The headers of a refusal.
+Headers RefusalHeaders(Outcome outcome, const std::string& reason,
+                       const RequestId& request);
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/platform/worker.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/resources.h"
+#include "platform/table.h"
+
+namespace almondtally {
+
+/// A time on the worker's own monotonic clock, in milliseconds.
+using WorkerTime = StrongNumber<struct WorkerTimeTag, int64_t>;
+
+enum class WorkerTaskState : uint8_t {
+  kRunning,
+  /// The lease has lapsed: the task makes no progress.
+  kFrozen,
+  kFinished,
+  kFailed,
+};
+NLOHMANN_JSON_SERIALIZE_ENUM(WorkerTaskState,
+                             {{WorkerTaskState::kRunning, "running"},
+                              {WorkerTaskState::kFrozen, "frozen"},
+                              {WorkerTaskState::kFinished, "finished"},
+                              {WorkerTaskState::kFailed, "failed"}})
+
+/// A task as its worker knows it.
+struct WorkerTask {
+  TaskId task;
+  Epoch epoch;
+  Generation generation;
+  WorkerTaskState state = WorkerTaskState::kRunning;
+  bool exclusive = true;
+  ServiceId service;
+  Resources claimed;
+  Resources used;
+  /// Object that holds the newest checkpoint; empty if there is none.
+  std::string checkpoint;
+  /// Percent of full speed.
+  int64_t speed = 100;
+  /// Where the executor of a service listens; 0 for batch tasks.
+  uint16_t port = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerTask, task, epoch,
+                                                generation, state, exclusive,
+                                                service, claimed, used,
+                                                checkpoint, speed, port)
+
+/// A worker's answer to a listing.
+struct WorkerState {
+  WorkerTime now_ms;
+  Resources capacity;
+  Resources used;
+  std::vector<WorkerTask> tasks;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerState, now_ms, capacity,
+                                                used, tasks)
+
+/// Asks a worker to run a task.
+struct WorkerStart {
+  TaskId task;
+  Epoch epoch;
+  Generation generation;
+  bool exclusive = true;
+  ServiceId service;
+  Resources claimed;
+  /// Work at full speed, in milliseconds; 0 for a service.
+  int64_t work_ms = 0;
+  std::string command;
+  std::string checkpoint;
+  WorkerTime lease_until_ms;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerStart, task, epoch,
+                                                generation, exclusive, service,
+                                                claimed, work_ms, command,
+                                                checkpoint, lease_until_ms)
+
+/// Names one run of a task at a worker.
+struct WorkerRun {
+  TaskId task;
+  Epoch epoch;
+
+  auto operator<=>(const WorkerRun&) const = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerRun, task, epoch)
+
+/// What a worker says after stopping a task.
+struct WorkerStopped {
+  WorkerTaskState state = WorkerTaskState::kFinished;
+  std::string checkpoint;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerStopped, state,
+                                                checkpoint)
+
+/// The worker of one VM, as plain functions so that tests can put their own
+/// in place. Empty results carry a reason; `kRefused` means not done.
+struct Worker {
+  using StateFn =
+      std::function<void(std::optional<WorkerState>, const PlatformReason&)>;
+  using DoneFn = std::function<void(bool done, const PlatformReason&)>;
+  using StoppedFn =
+      std::function<void(std::optional<WorkerStopped>, const PlatformReason&)>;
+
+  std::function<void(StateFn)> list;
+  std::function<void(const WorkerStart&, DoneFn)> start;
+  /// Moves the end of the leases of these runs, in the worker's time.
+  std::function<void(const std::vector<WorkerRun>&, WorkerTime until, DoneFn)>
+      renew;
+  /// Ends a run; `with_checkpoint` asks for a checkpoint first.
+  std::function<void(const WorkerRun&, bool with_checkpoint, StoppedFn)> stop;
+  /// Sets the speed of a run in percent.
+  std::function<void(const WorkerRun&, int64_t percent, DoneFn)> throttle;
+  /// Drops the record of an ended run.
+  std::function<void(const WorkerRun&)> forget;
+};
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/settings/setting.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/reason.h"
+
+namespace almondtally {
+
+/// What a setting holds; decides how its text is checked.
+enum class SettingKind : uint8_t {
+  kText,
+  kName,
+  kNumber,
+  kMillis,
+  kAddress,
+  kAddressList,
+  kFlag,
+};
+
+/// Declaration of one setting: where it is found and what it may be.
+struct SettingInfo {
+  /// Long flag without dashes; the environment variable is derived from it.
+  std::string flag;
+  SettingKind kind = SettingKind::kText;
+  /// Text used when neither flag nor variable is given; empty if required.
+  std::string default_text;
+  bool required = false;
+  /// Bounds for numbers and durations, inclusive.
+  int64_t min = 0;
+  int64_t max = INT64_MAX;
+  std::string help;
+};
+
+enum class SettingsError : uint8_t {
+  kNone,
+  kUnknownFlag,
+  kMissing,
+  kNotAllowed,
+  kHelpWanted,
+};
+
+using SettingsReason = Reason<SettingsError>;
+
+/// An IP number and a port.
+struct Address {
+  std::string host;
+  uint16_t port = 0;
+
+  auto operator<=>(const Address&) const = default;
+};
+
+/// @return "host:port".
+std::string ToString(const Address& address);
+
+/// Reads "IP:port" with an IPv4 number.
+/// @return the address, or empty if the text is not one.
+std::optional<Address> ParseAddress(const std::string& text);
+
+/// The settings of one process, each text already checked against its
+/// declaration.
+class Settings {
+ public:
+  /// Reads flags first, then environment variables, then defaults.
+  /// @param why tells which flag was wrong, its value and what is allowed.
+  /// @return the settings, or empty.
+  static std::optional<Settings> Read(const std::vector<SettingInfo>& infos,
+                                      const std::vector<std::string>& args,
+                                      SettingsReason& why);
+
+  const std::string& Text(const std::string& flag) const;
+  int64_t Number(const std::string& flag) const;
+  Duration Millis(const std::string& flag) const;
+  bool Flag(const std::string& flag) const;
+  Address AddressOf(const std::string& flag) const;
+  std::vector<Address> Addresses(const std::string& flag) const;
+  /// Words that belong to no flag, in order.
+  const std::vector<std::string>& Positional() const { return positional_; }
+
+ private:
+  struct Value {
+    std::string flag;
+    std::string text;
+  };
+
+  std::vector<Value> values_;
+  std::vector<std::string> positional_;
+};
+
+/// @return the environment variable of a flag: ALMONDTALLY_ and the flag in
+/// capitals.
+std::string VariableName(const std::string& flag);
+
+/// @return one line a setting: flag, variable, default, meaning.
+std::string HelpText(const std::vector<SettingInfo>& infos);
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/state/config_log.cc
@@ -0,0 +1,226 @@
+#include "state/config_log.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace almondtally {
+namespace {
+
+using nlohmann::json;
+
+const char* const kHeadKey = "config/head";
+const char* const kSnapshotKey = "config/snapshot";
+const char* const kLogPrefix = "config/log/";
+constexpr size_t kLogRowsKept = 512;
+constexpr uint64_t kChangesPerSnapshot = 128;
+constexpr int kMaxCommitTries = 8;
+
+std::string LogKey(ConfigVersion version) {
+  char buf[32];
+  std::snprintf(buf, sizeof buf, "%s%012llu", kLogPrefix,
+                static_cast<unsigned long long>(version.value));
+  return buf;
+}
+
+std::optional<ConfigChange> ReadChange(const std::string& text) {
+  const json in = json::parse(text, nullptr, false);
+  if (!in.is_object()) return std::nullopt;
+  try {
+    return in.get<ConfigChange>();
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+const Row* FindRow(const std::vector<Row>& rows, const std::string& key) {
+  const auto it = std::find_if(rows.begin(), rows.end(),
+                               [&](const Row& row) { return row.key == key; });
+  return it == rows.end() ? nullptr : &*it;
+}
+
+std::string UnknownOutcome(const ConfigProposal& proposal,
+                           const PlatformReason& why) {
+  return "the outcome is unknown (" + why.text + "); repeat with change id " +
+         proposal.id.value;
+}
+
+}  // namespace
+
+ConfigLog::ConfigLog(const Table& table, const Clock& clock)
+    : table_(table), clock_(clock) {}
+
+void ConfigLog::Poll() {
+  if (polling_) return;
+  polling_ = true;
+  CatchUp([this](const auto&, const auto&) { polling_ = false; });
+}
+
+void ConfigLog::CatchUp(CaughtUpFn fn) {
+  const MonotonicTime sent = Now(clock_);
+  table_.get({kHeadKey}, [this, sent, fn](const auto& rows, const auto& why) {
+    if (!rows) return fn(std::nullopt, why);
+    Head head;
+    head.sent = sent;
+    if (const Row* row = FindRow(*rows, kHeadKey)) {
+      head.row = row->version;
+      head.version =
+          ConfigVersion(std::strtoull(row->value.c_str(), nullptr, 10));
+    }
+    ReadMissing(head, fn);
+  });
+}
+
+void ConfigLog::ReadMissing(Head head, CaughtUpFn fn) {
+  if (config_.version >= head.version) return FinishCatchUp(head, fn);
+  const uint64_t missing = head.version.value - config_.version.value;
+  if (missing > kLogRowsKept || config_.version.value == 0) {
+    return ReadSnapshot(head, std::move(fn));
+  }
+  std::vector<std::string> keys;
+  for (uint64_t v = config_.version.value + 1; v <= head.version.value; ++v) {
+    keys.push_back(LogKey(ConfigVersion(v)));
+  }
+  table_.get(keys, [this, head, fn](const auto& rows, const auto& why) {
+    if (!rows) return fn(std::nullopt, why);
+    TakeChanges(*rows);
+    // A row is missing only if a snapshot has replaced it meanwhile.
+    if (config_.version < head.version) return ReadSnapshot(head, fn);
+    FinishCatchUp(head, fn);
+  });
+}
+
+void ConfigLog::ReadSnapshot(Head head, CaughtUpFn fn) {
+  table_.scan("config/", [this, head, fn](const auto& rows, const auto& why) {
+    if (!rows) return fn(std::nullopt, why);
+    if (const Row* row = FindRow(*rows, kSnapshotKey)) {
+      ConfigReason ignored;
+      auto snapshot = DecodeSnapshot(row->value, ignored);
+      if (snapshot && snapshot->version > config_.version) {
+        config_ = std::move(*snapshot);
+        recent_.clear();
+        if (on_applied_) on_applied_();
+      }
+    }
+    TakeChanges(*rows);
+    FinishCatchUp(head, fn);
+  });
+}
+
+void ConfigLog::TakeChanges(const std::vector<Row>& rows) {
+  for (const Row& row : rows) {
+    if (!row.key.starts_with(kLogPrefix)) continue;
+    if (const auto change = ReadChange(row.value)) TakeChange(*change);
+  }
+}
+
+void ConfigLog::TakeChange(const ConfigChange& change) {
+  if (!Apply(config_, change)) return;
+  recent_.push_back(change);
+  if (recent_.size() > kLogRowsKept) recent_.pop_front();
+  if (on_applied_) on_applied_();
+}
+
+void ConfigLog::FinishCatchUp(Head head, const CaughtUpFn& fn) {
+  if (config_.version < head.version) {
+    return fn(std::nullopt, {PlatformError::kDecode, "the log has a gap"});
+  }
+  ready_ = true;
+  if (!current_as_of_ || *current_as_of_ < head.sent) {
+    current_as_of_ = head.sent;
+  }
+  fn(head, {});
+}
+
+std::optional<std::vector<ConfigChange>> ConfigLog::ChangesAfter(
+    ConfigVersion version) const {
+  if (version >= config_.version) return std::vector<ConfigChange>();
+  if (recent_.empty() || recent_.front().version.value > version.value + 1) {
+    return std::nullopt;
+  }
+  std::vector<ConfigChange> out;
+  for (const ConfigChange& change : recent_) {
+    if (change.version > version) out.push_back(change);
+  }
+  return out;
+}
+
+bool ConfigLog::Conflicts(const ConfigProposal& proposal,
+                          ConfigReason& why) const {
+  if (!proposal.expected) return false;
+  const auto it = config_.objects.find({proposal.kind, proposal.name});
+  const bool exists = it != config_.objects.end();
+  const ConfigVersion now = exists ? it->second.version : ConfigVersion(0);
+  if (now == *proposal.expected) return false;
+  why.Set(ConfigError::kConflict,
+          "the object was changed in version " + std::to_string(now.value) +
+              ", you expected version " +
+              std::to_string(proposal.expected->value) +
+              "; in force: " + (exists ? it->second.value : "nothing") +
+              "; yours: " + proposal.value);
+  return true;
+}
+
+void ConfigLog::Propose(ConfigProposal proposal, AcceptFn fn) {
+  TryCommit(std::move(proposal), kMaxCommitTries, std::move(fn));
+}
+
+void ConfigLog::TryCommit(ConfigProposal proposal, int tries_left,
+                          AcceptFn fn) {
+  // The log is read first, so that the change is judged against the newest
+  // configuration and a lost answer is settled by the change's id.
+  CatchUp([=, this](const auto& head, const auto& why) {
+    if (!head) {
+      const bool first = tries_left == kMaxCommitTries;
+      return fn(std::nullopt, {ConfigError::kUnavailable,
+                               first ? "the table cannot be read (" + why.text +
+                                           "); nothing was changed"
+                                     : UnknownOutcome(proposal, why)});
+    }
+    for (const ConfigChange& change : recent_) {
+      if (change.id == proposal.id) return fn(change.version, {});
+    }
+    ConfigReason conflict;
+    if (Conflicts(proposal, conflict)) return fn(std::nullopt, conflict);
+    Commit(proposal, *head, tries_left, fn);
+  });
+}
+
+void ConfigLog::Commit(const ConfigProposal& proposal, Head head,
+                       int tries_left, AcceptFn fn) {
+  const ConfigChange change{ConfigVersion(head.version.value + 1), proposal.id,
+                            proposal.kind, proposal.name, proposal.value};
+  table_.commit(MakeTransaction(change, head),
+                [=, this](const auto& done, const auto& why) {
+                  if (done) {
+                    TakeChange(change);
+                    return fn(change.version, {});
+                  }
+                  if (tries_left > 1)
+                    return TryCommit(proposal, tries_left - 1, fn);
+                  fn(std::nullopt, {ConfigError::kUnavailable,
+                                    UnknownOutcome(proposal, why)});
+                });
+}
+
+Transaction ConfigLog::MakeTransaction(const ConfigChange& change,
+                                       Head head) const {
+  Transaction transaction;
+  transaction.checks = {{kHeadKey, head.row}};
+  transaction.puts = {{kHeadKey, std::to_string(change.version.value)},
+                      {LogKey(change.version), json(change).dump()}};
+  if (change.version.value % kChangesPerSnapshot != 0) return transaction;
+  // The snapshot holds all changes before this one.
+  transaction.puts.push_back({kSnapshotKey, EncodeSnapshot(config_)});
+  if (change.version.value <= kLogRowsKept) return transaction;
+  const uint64_t last_dropped = change.version.value - kLogRowsKept;
+  const uint64_t first_dropped = last_dropped > kChangesPerSnapshot
+                                     ? last_dropped - kChangesPerSnapshot
+                                     : 1;
+  for (uint64_t v = first_dropped; v <= last_dropped; ++v) {
+    transaction.deletes.push_back(LogKey(ConfigVersion(v)));
+  }
+  return transaction;
+}
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/target/request_server.cc
@@ -0,0 +1,257 @@
+#include "target/request_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "peer/request_headers.h"
+
+namespace almondtally {
+
+struct RequestServer::Relay {
+  explicit Relay(Exchange it) : exchange(std::move(it)) {}
+
+  Exchange exchange;
+  RequestArrival arrival;
+  Incarnation incarnation;
+  std::string rest;
+  bool idempotent = false;
+  MonotonicTime deadline{};
+  std::shared_ptr<Call> call;
+  /// Copy of the answer, as long as it is worth keeping.
+  WholeAnswer copy;
+  bool copy_is_whole = true;
+  bool head_seen = false;
+};
+
+namespace {
+
+constexpr int kUnavailable = 503;
+constexpr int kBadGateway = 502;
+constexpr int kConflict = 409;
+constexpr int kBadRequest = 400;
+constexpr size_t kMaxQueuedBytes = 256 << 10;
+
+void Refuse(const Exchange& exchange, int status, Outcome outcome,
+            const std::string& reason, const RequestId& request) {
+  exchange.Answer(status, RefusalHeaders(outcome, reason, request),
+                  RefusalBody(outcome, reason, request));
+}
+
+uint16_t ExecutorPort(const TaskTable& tasks, const ServiceId& service) {
+  for (const auto& [key, run] : tasks.runs) {
+    if (run.item.service == service && run.phase == RunPhase::kRunning) {
+      return run.port;
+    }
+  }
+  return 0;
+}
+
+Header LoadHeader(const RequestTable& table, const ServiceId& service) {
+  for (const ServiceLoad& load : Loads(table)) {
+    if (load.service != service) continue;
+    return {header::kLoad, std::to_string(load.in_use) + "/" +
+                               std::to_string(load.queued) + "/" +
+                               std::to_string(load.limit)};
+  }
+  return {header::kLoad, "0/0/0"};
+}
+
+}  // namespace
+
+RequestServer::RequestServer(TargetContext& context) : context_(context) {}
+
+void RequestServer::Handle(const Exchange& exchange) {
+  const HttpRequest& request = exchange.request();
+  const auto path = SplitServicePath(request.path);
+  const std::string* id = FindHeader(request.headers, header::kRequest);
+  const auto deadline = NumberHeader(request.headers, header::kDeadline);
+  const auto as_of = NumberHeader(request.headers, header::kAsOf);
+  const auto incarnation = NumberHeader(request.headers, header::kIncarnation);
+  if (!path || id == nullptr || !deadline || !as_of || !incarnation) {
+    Log(Event::kPeerGarbage, {{"path", request.path}});
+    return Refuse(exchange, kBadRequest, Outcome::kNotRun,
+                  "not a request of an entry", RequestId());
+  }
+  auto relay = std::make_shared<Relay>(exchange);
+  relay->arrival.service = path->service;
+  relay->arrival.request = RequestId(*id);
+  relay->arrival.keyed = FindHeader(request.headers, header::kKeyed) != nullptr;
+  relay->arrival.deadline = Duration(*deadline);
+  relay->arrival.as_of = MonotonicTime(Duration(*as_of));
+  relay->incarnation = Incarnation(static_cast<uint64_t>(*incarnation));
+  relay->rest = path->rest;
+  relay->idempotent = IsIdempotent(request.method);
+  relay->deadline = context_.loop.now() + relay->arrival.deadline;
+  Admit(relay);
+}
+
+void RequestServer::Admit(const std::shared_ptr<Relay>& relay) {
+  const RequestArrival& arrival = relay->arrival;
+  // A former process of this VM may have run it; a request without a key was
+  // sent only once, so for that the refusal is true.
+  if (relay->incarnation != context_.tasks.incarnation) {
+    const Outcome outcome =
+        arrival.keyed ? Outcome::kUnknown : Outcome::kNotRun;
+    return Refuse(relay->exchange, kUnavailable, outcome,
+                  "the target process was replaced", arrival.request);
+  }
+  context_.requests.draining = context_.leaving || context_.config.draining;
+  const AdmitResult result =
+      AdmitRequest(context_.requests, context_.loop.now(), arrival);
+  switch (result.verdict) {
+    case AdmitVerdict::kRefused:
+      return Refuse(relay->exchange, kUnavailable, Outcome::kNotRun,
+                    result.reason, arrival.request);
+    case AdmitVerdict::kUnknown:
+      return Refuse(relay->exchange, kConflict, Outcome::kUnknown,
+                    result.reason, arrival.request);
+    case AdmitVerdict::kKnown:
+      return AnswerKnown(relay);
+    case AdmitVerdict::kWait:
+      waiting_[arrival.request] = relay;
+      return;
+    case AdmitVerdict::kRun:
+      return Run(relay);
+  }
+}
+
+void RequestServer::Run(const std::shared_ptr<Relay>& relay) {
+  const RequestId request = relay->arrival.request;
+  const ServiceId service = relay->arrival.service;
+  Log(Event::kRequestAdmitted,
+      {{"request", request.value}, {"service", service.value}});
+  const uint16_t port = ExecutorPort(context_.tasks, service);
+  const HttpRequest& from = relay->exchange.request();
+  HttpRequest to{from.method, relay->rest, EndToEndHeaders(from.headers),
+                 from.body};
+  CallHooks hooks;
+  hooks.on_head = [this, relay](int status, const Headers& headers) {
+    relay->head_seen = true;
+    relay->copy.status = status;
+    relay->copy.headers = EndToEndHeaders(headers);
+    Headers out = relay->copy.headers;
+    out.push_back({header::kOutcome, "ran"});
+    out.push_back({header::kRequest, relay->arrival.request.value});
+    out.push_back(LoadHeader(context_.requests, relay->arrival.service));
+    relay->exchange.Begin(status, out);
+  };
+  hooks.on_body = [relay](std::string_view piece) {
+    relay->copy_is_whole =
+        relay->copy_is_whole &&
+        relay->copy.body.size() + piece.size() <= kMaxKeptAnswer;
+    if (relay->copy_is_whole) relay->copy.body += piece;
+    relay->exchange.Write(piece);
+    const bool full = relay->exchange.queued() > kMaxQueuedBytes;
+    if (full && relay->call != nullptr) relay->call->SetPaused(true);
+  };
+  hooks.on_end = [this, relay](CallEnd end) { Finish(relay, end); };
+  relay->exchange.OnDrained([weak = std::weak_ptr(relay)] {
+    const auto it = weak.lock();
+    if (it != nullptr && it->call != nullptr) it->call->SetPaused(false);
+  });
+  relay->exchange.OnGone([weak = std::weak_ptr(relay)] {
+    // The work goes on to its end, with nobody to slow it down.
+    const auto it = weak.lock();
+    if (it != nullptr && it->call != nullptr) it->call->SetPaused(false);
+  });
+  const Address executor{context_.settings.worker.host, port};
+  const Duration left =
+      std::max(Duration(1), relay->deadline - context_.loop.now());
+  relay->call = context_.http.Start(executor, std::move(to), relay->idempotent,
+                                    left, std::move(hooks));
+}
+
+void RequestServer::Finish(const std::shared_ptr<Relay>& relay, CallEnd end) {
+  const RequestId request = relay->arrival.request;
+  relay->call = nullptr;
+  std::optional<WholeAnswer> kept;
+  const bool whole = end.error == WireError::kNone && relay->copy_is_whole;
+  const bool wanted = relay->arrival.keyed || relay->exchange.closed();
+  if (whole && wanted) kept = std::move(relay->copy);
+  Outcome outcome = Outcome::kRan;
+  if (end.error != WireError::kNone && !relay->head_seen) {
+    outcome = end.sent == Sent::kNo ? Outcome::kNotRun : Outcome::kUnknown;
+  }
+  if (end.error == WireError::kNone) {
+    relay->exchange.End();
+  } else if (relay->head_seen) {
+    relay->exchange.Abort();
+  } else if (outcome == Outcome::kNotRun) {
+    Refuse(relay->exchange, kUnavailable, outcome,
+           "the executor cannot be reached", request);
+  } else {
+    Refuse(relay->exchange, kBadGateway, outcome,
+           "the executor's answer was lost", request);
+  }
+  FinishRequest(context_.requests, context_.loop.now(), relay->arrival.service,
+                request, outcome, std::move(kept));
+  AnswerWaiters(request);
+  StartWaiting(relay->arrival.service);
+}
+
+void RequestServer::StartWaiting(const ServiceId& service) {
+  while (const auto request = TakeWaiting(context_.requests, service)) {
+    const auto node = waiting_.extract(*request);
+    if (!node.empty()) Run(node.mapped());
+  }
+}
+
+void RequestServer::AnswerKnown(const std::shared_ptr<Relay>& relay) {
+  const RequestId request = relay->arrival.request;
+  const RequestRecord& record = context_.requests.records.at(request);
+  if (record.state == RequestState::kWithdrawn) {
+    return Refuse(relay->exchange, kUnavailable, Outcome::kNotRun,
+                  "withdrawn before it started", request);
+  }
+  if (record.state != RequestState::kDone) {
+    repeats_[request].push_back(relay);
+    return;
+  }
+  if (!record.answer) {
+    return Refuse(relay->exchange, kConflict, record.outcome,
+                  "an earlier try was made; its answer is not kept", request);
+  }
+  Log(Event::kRequestReplayed, {{"request", request.value}});
+  Headers headers = record.answer->headers;
+  headers.push_back({header::kOutcome, "ran"});
+  headers.push_back({header::kRequest, request.value});
+  relay->exchange.Answer(record.answer->status, headers, record.answer->body);
+}
+
+void RequestServer::AnswerWaiters(const RequestId& request) {
+  const auto node = repeats_.extract(request);
+  if (node.empty()) return;
+  for (const auto& relay : node.mapped()) AnswerKnown(relay);
+}
+
+WithdrawAnswer RequestServer::HandleWithdraw(const WithdrawRequest& request) {
+  WithdrawAnswer answer;
+  if (request.incarnation != context_.tasks.incarnation) return answer;
+  const MonotonicTime as_of{Duration(request.as_of_ms.value)};
+  answer.verdict =
+      Withdraw(context_.requests, context_.loop.now(), request.request, as_of);
+  if (answer.verdict == WithdrawVerdict::kNeverRuns) {
+    waiting_.erase(request.request);
+  }
+  if (answer.verdict == WithdrawVerdict::kDone) {
+    const auto& record = context_.requests.records.at(request.request);
+    answer.status = record.answer->status;
+    answer.headers = record.answer->headers;
+    answer.body = record.answer->body;
+  }
+  return answer;
+}
+
+void RequestServer::Tick() {
+  const MonotonicTime now = context_.loop.now();
+  for (const RequestId& request : ExpireWaiting(context_.requests, now)) {
+    const auto node = waiting_.extract(request);
+    if (node.empty()) continue;
+    Refuse(node.mapped()->exchange, kUnavailable, Outcome::kNotRun,
+           "its deadline passed while it waited", request);
+  }
+  Tidy(context_.requests, now);
+}
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/target/target_context.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "base/random.h"
+#include "peer/links.h"
+#include "platform/worker.h"
+#include "state/config.h"
+#include "target/pressure.h"
+#include "target/request_table.h"
+#include "target/task_table.h"
+#include "wire/http_client.h"
+#include "wire/loop.h"
+
+namespace almondtally {
+
+/// Checked settings of a target process.
+struct TargetSettings {
+  VmId vm;
+  DataCentreId data_centre;
+  RackId rack;
+  Address listen;
+  Address advertise;
+  Address worker;
+  std::vector<Address> entries;
+  Duration announce_every{2'000};
+  Duration drain_limit{30'000};
+};
+
+/// Configuration as this target has it in force.
+struct TargetConfig {
+  ConfigVersion version;
+  std::map<ServiceId, ServiceConfig> services;
+  bool draining = false;
+};
+
+/// One entry that this target announces itself to.
+struct EntryContact {
+  bool is_seed = false;
+  bool in_flight = false;
+  MonotonicTime last_answer{};
+};
+
+/// Everything a target process holds.
+struct TargetContext {
+  TargetContext(Loop& loop, TargetSettings settings, Worker worker);
+
+  Loop& loop;
+  TargetSettings settings;
+  Worker worker;
+  HttpClient http;
+  Links links;
+  Random random;
+  TargetConfig config;
+  TaskTable tasks;
+  RequestTable requests;
+  PressureLimits pressure_limits;
+  PressureState pressure;
+  std::map<Address, EntryContact> entries;
+  bool listing_in_flight = false;
+  bool leaving = false;
+  MonotonicTime leaving_since{};
+  MonotonicTime next_announce{};
+};
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/target/task_table.cc
@@ -0,0 +1,406 @@
+#include "target/task_table.h"
+
+#include <algorithm>
+
+namespace almondtally {
+namespace {
+
+constexpr Duration kCallRetry{500};
+/// Leases of services, which need no proof.
+constexpr Duration kServiceLease{30'000};
+
+bool IsLive(const Run& run) { return run.phase != RunPhase::kEnded; }
+
+StartResult Result(const StartItem& item, StartVerdict verdict,
+                   std::string reason) {
+  return {item.run(), verdict, std::move(reason)};
+}
+
+StartResult Refuse(TaskTable& table, MonotonicTime now, const StartItem& item,
+                   std::string reason) {
+  // A call of this VM's former process may still reach the worker, as long
+  // as the lease it carries lasts. Until then a refusal might not be true.
+  if (now < table.started_at + kLease + kDriftMargin) {
+    return Result(item, StartVerdict::kRetry, "starting up: " + reason);
+  }
+  table.tombstones[item.run()] = {StartVerdict::kRefused, now};
+  return Result(item, StartVerdict::kRefused, std::move(reason));
+}
+
+void EndRun(Run& run, RunOutcome outcome, const std::string& reason) {
+  run.phase = RunPhase::kEnded;
+  run.outcome = outcome;
+  run.reason = reason;
+  run.call_in_flight = false;
+}
+
+bool HasOlderExclusiveRuns(const TaskTable& table, Generation generation) {
+  return std::any_of(table.runs.begin(), table.runs.end(), [&](const auto& it) {
+    const Run& run = it.second;
+    return IsLive(run) && run.item.exclusive &&
+           run.item.generation < generation;
+  });
+}
+
+void StopOlderRuns(TaskTable& table, Generation generation) {
+  for (auto& [key, run] : table.runs) {
+    if (!IsLive(run) || !run.item.exclusive) continue;
+    if (run.item.generation >= generation) continue;
+    Stop(table, key, RunOutcome::kEvicted, "the VM was fenced");
+  }
+}
+
+StartItem ItemOf(const WorkerTask& task) {
+  StartItem item;
+  item.task = task.task;
+  item.epoch = task.epoch;
+  item.generation = task.generation;
+  item.exclusive = task.exclusive;
+  item.service = task.service;
+  item.claimed = task.claimed;
+  return item;
+}
+
+/// A run on the worker that this process did not admit: left by its former
+/// life, or started by a call that was given up.
+void Adopt(TaskTable& table, const WorkerTask& task, MonotonicTime now) {
+  const WorkerRun key{task.task, task.epoch};
+  Run& run = table.runs[key];
+  run.item = ItemOf(task);
+  run.phase = RunPhase::kRunning;
+  run.confirmed_at = now;
+  const bool refused = table.tombstones.contains(key);
+  const Generation least = std::max(table.generation, table.fenced_to);
+  const bool fenced = task.exclusive && task.generation < least;
+  if (refused || fenced) {
+    Stop(table, key, RunOutcome::kEvicted, refused ? "refused" : "fenced");
+  }
+}
+
+void TakeWorkerTask(TaskTable& table, const WorkerTask& task,
+                    MonotonicTime received_at) {
+  const WorkerRun key{task.task, task.epoch};
+  if (!table.runs.contains(key)) {
+    const auto tombstone = table.tombstones.find(key);
+    const bool over = task.state == WorkerTaskState::kFinished ||
+                      task.state == WorkerTaskState::kFailed;
+    // Acknowledged and about to be forgotten by the worker.
+    if (tombstone != table.tombstones.end() && over) return;
+    Adopt(table, task, received_at);
+  }
+  Run& run = table.runs[key];
+  if (run.phase == RunPhase::kEnded) return;
+  run.confirmed_at = received_at;
+  run.used = task.used;
+  run.speed = task.speed;
+  run.port = task.port;
+  run.checkpoint = task.checkpoint;
+  if (run.phase == RunPhase::kStarting) run.phase = RunPhase::kRunning;
+  if (task.state == WorkerTaskState::kFinished) {
+    EndRun(run, RunOutcome::kFinished, "");
+  } else if (task.state == WorkerTaskState::kFailed) {
+    EndRun(run, RunOutcome::kFailed, "the task failed on its worker");
+  }
+}
+
+/// Runs that the worker confirmed before and does not list any more.
+void EndMissingRuns(TaskTable& table, MonotonicTime asked_at,
+                    const std::vector<WorkerTask>& listed) {
+  for (auto& [key, run] : table.runs) {
+    const bool confirmed =
+        run.phase == RunPhase::kRunning || run.phase == RunPhase::kStopping;
+    if (!confirmed || run.confirmed_at >= asked_at || run.call_in_flight) {
+      continue;
+    }
+    const bool found =
+        std::any_of(listed.begin(), listed.end(), [&](const WorkerTask& task) {
+          return task.task == key.task && task.epoch == key.epoch;
+        });
+    if (found) continue;
+    const RunOutcome outcome =
+        run.phase == RunPhase::kStopping ? run.outcome : RunOutcome::kEvicted;
+    EndRun(run, outcome, "the worker no longer has it");
+  }
+}
+
+Resources Larger(const Resources& a, const Resources& b) {
+  return {std::max(a.cpu, b.cpu), std::max(a.memory, b.memory),
+          std::max(a.accelerators, b.accelerators)};
+}
+
+/// A reading of the worker's clock that is surely not after `at`.
+WorkerTime InWorkerTime(const TaskTable& table, MonotonicTime at) {
+  return WorkerTime(table.worker_time.value +
+                    (at - table.worker_time_at).count());
+}
+
+WorkerTime LeaseEnd(const TaskTable& table, bool exclusive, MonotonicTime now) {
+  if (!exclusive) return InWorkerTime(table, now + kServiceLease);
+  return InWorkerTime(table, ValidUntil(table.proof).value_or(now));
+}
+
+}  // namespace
+
+Resources CommittedResources(const TaskTable& table) {
+  Resources sum;
+  for (const auto& [key, run] : table.runs) {
+    if (IsLive(run)) sum += run.item.claimed;
+  }
+  return sum;
+}
+
+Resources ReservedResources(const TaskTable& table) {
+  Resources sum;
+  for (const auto& [key, run] : table.runs) {
+    if (IsLive(run)) sum += Larger(run.item.claimed, run.used);
+  }
+  return sum;
+}
+
+bool MayRunExclusive(const TaskTable& table, MonotonicTime now) {
+  return table.generation.value != 0 && table.fenced_to <= table.generation &&
+         IsValid(table.proof, now);
+}
+
+StartResult Admit(TaskTable& table, MonotonicTime now,
+                  const StartRequest& request, const StartItem& item) {
+  if (const auto it = table.runs.find(item.run()); it != table.runs.end()) {
+    const bool ended = it->second.phase == RunPhase::kEnded ||
+                       it->second.phase == RunPhase::kStopping;
+    return Result(item, ended ? StartVerdict::kEnded : StartVerdict::kAccepted,
+                  "");
+  }
+  if (request.incarnation != table.incarnation) {
+    return Result(item, StartVerdict::kRetry, "meant for a former process");
+  }
+  const auto age = now.time_since_epoch() - Duration(request.as_of_ms.value);
+  if (age > kStartAge) {
+    return Result(item, StartVerdict::kRetry, "the message is too old");
+  }
+  if (const auto it = table.tombstones.find(item.run());
+      it != table.tombstones.end()) {
+    return Result(item, it->second.verdict, "remembered");
+  }
+  if (!table.listed) {
+    return Result(item, StartVerdict::kRetry, "the worker's list is not known");
+  }
+  if (item.exclusive && !MayRunExclusive(table, now)) {
+    return Result(item, StartVerdict::kRetry, "no proof against a fence");
+  }
+  if (item.exclusive && item.generation < table.generation) {
+    return Refuse(table, now, item, "assigned before the VM was fenced");
+  }
+  if (item.exclusive && item.generation > table.generation) {
+    return Result(item, StartVerdict::kRetry, "generation not yet adopted");
+  }
+  if (table.draining) return Refuse(table, now, item, "the VM is draining");
+  if (!Fits(ReservedResources(table) + item.claimed, table.capacity)) {
+    return Refuse(table, now, item, "the VM is full");
+  }
+  Run run;
+  run.item = item;
+  run.checkpoint = item.checkpoint;
+  run.next_call_at = now;
+  table.runs[item.run()] = std::move(run);
+  return Result(item, StartVerdict::kAccepted, "");
+}
+
+void TakeListing(TaskTable& table, MonotonicTime asked_at,
+                 MonotonicTime received_at, const WorkerState& state) {
+  table.listed = true;
+  table.capacity = state.capacity;
+  table.used = state.used;
+  // Pairing the reading with the time of receipt makes every later estimate
+  // of the worker's time fall short, never long.
+  table.worker_time = state.now_ms;
+  table.worker_time_at = received_at;
+  for (const WorkerTask& task : state.tasks) {
+    TakeWorkerTask(table, task, received_at);
+  }
+  EndMissingRuns(table, asked_at, state.tasks);
+}
+
+ProofEffect TakeProof(TaskTable& table, MonotonicTime asked_at,
+                      const FenceProof& proof) {
+  const Generation known = std::max(table.generation, table.fenced_to);
+  if (proof.generation < known) return ProofEffect::kStale;
+  if (proof.generation == known) {
+    Renew(table.proof, asked_at, Duration(proof.read_age_ms));
+    return ProofEffect::kNone;
+  }
+  const bool first = table.generation.value == 0;
+  table.fenced_to = proof.generation;
+  table.proof = Proof{};
+  Renew(table.proof, asked_at, Duration(proof.read_age_ms));
+  StopOlderRuns(table, proof.generation);
+  return first ? ProofEffect::kAdopted : ProofEffect::kFenced;
+}
+
+std::vector<WorkerStart> TakeStarts(TaskTable& table, MonotonicTime now) {
+  std::vector<WorkerStart> starts;
+  for (auto& [key, run] : table.runs) {
+    if (run.phase != RunPhase::kStarting || run.call_in_flight) continue;
+    if (now < run.next_call_at) continue;
+    if (run.item.exclusive && !MayRunExclusive(table, now)) continue;
+    run.call_in_flight = true;
+    run.called = true;
+    WorkerStart start;
+    start.task = key.task;
+    start.epoch = key.epoch;
+    start.generation = run.item.generation;
+    start.exclusive = run.item.exclusive;
+    start.service = run.item.service;
+    start.claimed = run.item.claimed;
+    start.work_ms = run.item.work_ms;
+    start.command = run.item.command;
+    start.checkpoint = run.item.checkpoint;
+    start.lease_until_ms = LeaseEnd(table, run.item.exclusive, now);
+    starts.push_back(std::move(start));
+  }
+  return starts;
+}
+
+void TakeStarted(TaskTable& table, const WorkerRun& run, MonotonicTime now,
+                 bool done, const PlatformReason& why) {
+  const auto it = table.runs.find(run);
+  if (it == table.runs.end()) return;
+  Run& entity = it->second;
+  entity.call_in_flight = false;
+  const bool refused = !done && why.code == PlatformError::kRefused;
+  const bool lost = !done && !refused;
+  if (lost) {
+    const auto lapses = entity.item.exclusive
+                            ? ValidUntil(table.proof).value_or(now)
+                            : now + kServiceLease;
+    entity.uncertain_until = std::max(entity.uncertain_until, lapses);
+    entity.next_call_at = now + kCallRetry;
+  }
+  if (entity.phase != RunPhase::kStarting) return;
+  if (done) {
+    entity.phase = RunPhase::kRunning;
+    entity.confirmed_at = now;
+    entity.uncertain_until = MonotonicTime{};
+  }
+  if (!refused) return;
+  if (now >= entity.uncertain_until) {
+    EndRun(entity, RunOutcome::kNotStarted, why.text);
+    return;
+  }
+  // An earlier call may still arrive: end it once that is ruled out.
+  Stop(table, run, RunOutcome::kNotStarted, why.text);
+}
+
+std::vector<StopCall> TakeStops(TaskTable& table, MonotonicTime now) {
+  std::vector<StopCall> stops;
+  for (auto& [key, run] : table.runs) {
+    if (run.phase != RunPhase::kStopping || run.call_in_flight) continue;
+    if (now < run.next_call_at || now < run.uncertain_until) continue;
+    run.call_in_flight = true;
+    const bool fenced =
+        run.item.exclusive &&
+        run.item.generation < std::max(table.generation, table.fenced_to);
+    // A fenced run may already go on elsewhere from an older checkpoint.
+    const bool keep = run.outcome == RunOutcome::kEvicted && !fenced;
+    stops.push_back({key, keep});
+  }
+  return stops;
+}
+
+void TakeStopped(TaskTable& table, const WorkerRun& run, MonotonicTime now,
+                 const std::optional<WorkerStopped>& stopped) {
+  const auto it = table.runs.find(run);
+  if (it == table.runs.end()) return;
+  Run& entity = it->second;
+  entity.call_in_flight = false;
+  if (entity.phase != RunPhase::kStopping) return;
+  if (!stopped) {
+    entity.next_call_at = now + kCallRetry;
+    return;
+  }
+  if (!stopped->checkpoint.empty()) entity.checkpoint = stopped->checkpoint;
+  const bool finished = stopped->state == WorkerTaskState::kFinished;
+  EndRun(entity, finished ? RunOutcome::kFinished : entity.outcome,
+         entity.reason);
+}
+
+bool Stop(TaskTable& table, const WorkerRun& run, RunOutcome outcome,
+          const std::string& reason) {
+  const auto it = table.runs.find(run);
+  if (it == table.runs.end()) return false;
+  Run& entity = it->second;
+  const bool may_stop =
+      entity.phase == RunPhase::kStarting || entity.phase == RunPhase::kRunning;
+  if (!may_stop) return false;
+  const bool never_called =
+      entity.phase == RunPhase::kStarting && !entity.called;
+  if (never_called) {
+    EndRun(entity, RunOutcome::kNotStarted, reason);
+    return true;
+  }
+  entity.phase = RunPhase::kStopping;
+  entity.outcome = outcome;
+  entity.reason = reason;
+  entity.next_call_at = MonotonicTime{};
+  return true;
+}
+
+void CancelRun(TaskTable& table, const WorkerRun& run, MonotonicTime now) {
+  if (Stop(table, run, RunOutcome::kCancelled, "cancelled")) return;
+  if (table.runs.contains(run) || table.tombstones.contains(run)) return;
+  if (!table.listed || now < table.started_at + kLease + kDriftMargin) return;
+  Run& entity = table.runs[run];
+  entity.item.task = run.task;
+  entity.item.epoch = run.epoch;
+  EndRun(entity, RunOutcome::kCancelled, "cancelled before it started");
+}
+
+std::vector<Renewal> Renewals(const TaskTable& table, MonotonicTime now) {
+  Renewal exclusive;
+  Renewal services;
+  for (const auto& [key, run] : table.runs) {
+    if (run.phase != RunPhase::kRunning) continue;
+    (run.item.exclusive ? exclusive : services).runs.push_back(key);
+  }
+  std::vector<Renewal> out;
+  if (!exclusive.runs.empty() && MayRunExclusive(table, now)) {
+    exclusive.until = LeaseEnd(table, true, now);
+    out.push_back(std::move(exclusive));
+  }
+  if (!services.runs.empty()) {
+    services.until = LeaseEnd(table, false, now);
+    out.push_back(std::move(services));
+  }
+  return out;
+}
+
+std::vector<EndedRun> Ended(const TaskTable& table) {
+  std::vector<EndedRun> ended;
+  for (const auto& [key, run] : table.runs) {
+    if (run.phase != RunPhase::kEnded) continue;
+    ended.push_back({key, run.outcome, run.checkpoint, run.reason});
+  }
+  return ended;
+}
+
+bool Acknowledge(TaskTable& table, const WorkerRun& run, MonotonicTime now) {
+  const auto it = table.runs.find(run);
+  if (it == table.runs.end() || it->second.phase != RunPhase::kEnded) {
+    return false;
+  }
+  table.tombstones[run] = {StartVerdict::kEnded, now};
+  table.runs.erase(it);
+  return true;
+}
+
+void Tidy(TaskTable& table, MonotonicTime now) {
+  std::erase_if(table.tombstones, [&](const auto& it) {
+    return now - it.second.since > kTombstoneAge;
+  });
+  if (table.fenced_to <= table.generation || !table.listed) return;
+  if (HasOlderExclusiveRuns(table, table.fenced_to)) return;
+  table.generation = table.fenced_to;
+}
+
+bool IsEmpty(const TaskTable& table) { return table.runs.empty(); }
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/wire/http_types.cc
@@ -0,0 +1,63 @@
+#include "wire/http_types.h"
+
+#include <memory>
+#include <utility>
+
+namespace almondtally {
+
+const std::string* FindHeader(const Headers& headers, std::string_view name) {
+  for (const Header& header : headers) {
+    if (header.name == name) return &header.value;
+  }
+  return nullptr;
+}
+
+std::string_view ToString(WireError error) {
+  switch (error) {
+    case WireError::kNone:
+      return "none";
+    case WireError::kConnect:
+      return "connect";
+    case WireError::kLinkLost:
+      return "link_lost";
+    case WireError::kRefusedByPeer:
+      return "refused_by_peer";
+    case WireError::kTimeout:
+      return "timeout";
+    case WireError::kCancelled:
+      return "cancelled";
+    case WireError::kDecode:
+      return "decode";
+  }
+  return "unknown";
+}
+
+CallHooks CollectWhole(size_t max_body, WholeAnswerFn fn) {
+  struct Collected {
+    WholeAnswer answer;
+    bool too_large = false;
+  };
+  auto state = std::make_shared<Collected>();
+  CallHooks hooks;
+  hooks.on_head = [state](int status, const Headers& headers) {
+    state->answer.status = status;
+    state->answer.headers = headers;
+  };
+  hooks.on_body = [state, max_body](std::string_view piece) {
+    if (state->answer.body.size() + piece.size() > max_body) {
+      state->too_large = true;
+      return;
+    }
+    state->answer.body += piece;
+  };
+  hooks.on_end = [state, fn = std::move(fn)](CallEnd end) {
+    if (end.error != WireError::kNone) return fn(std::nullopt, end);
+    if (state->too_large) {
+      return fn(std::nullopt, {WireError::kDecode, Sent::kMaybe});
+    }
+    fn(std::move(state->answer), end);
+  };
+  return hooks;
+}
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/wire/loop.cc
@@ -0,0 +1,65 @@
+#include "wire/loop.h"
+
+#include <algorithm>
+
+#include "wire/h2o_include.h"
+
+namespace almondtally {
+namespace {
+
+constexpr int32_t kMaxSleepMs = 100;
+
+}  // namespace
+
+Loop::Loop() : native_(h2o_evloop_create()) {}
+
+// h2o's loop cannot be destroyed while sockets are linked to it; the process
+// ends right after, so the loop is left to the operating system.
+Loop::~Loop() = default;
+
+TimerId Loop::After(Duration delay, std::function<void()> fn) {
+  const TimerId id = next_id_++;
+  const MonotonicTime due = now() + delay;
+  timers_.emplace(std::make_pair(due, id), std::move(fn));
+  due_.emplace(id, due);
+  return id;
+}
+
+void Loop::Every(Duration period, std::function<void()> fn) {
+  After(period, [this, period, fn = std::move(fn)] {
+    fn();
+    Every(period, fn);
+  });
+}
+
+void Loop::Cancel(TimerId timer) {
+  const auto it = due_.find(timer);
+  if (it == due_.end()) return;
+  timers_.erase({it->second, timer});
+  due_.erase(it);
+}
+
+void Loop::Run() {
+  while (!stopped_) {
+    h2o_evloop_run(native_, MillisToNextTimer());
+    RunDueTimers();
+  }
+}
+
+void Loop::RunDueTimers() {
+  const MonotonicTime until = now();
+  while (!timers_.empty() && timers_.begin()->first.first <= until) {
+    auto node = timers_.extract(timers_.begin());
+    due_.erase(node.key().second);
+    node.mapped()();
+  }
+}
+
+int32_t Loop::MillisToNextTimer() const {
+  if (timers_.empty()) return kMaxSleepMs;
+  const auto wait = timers_.begin()->first.first - now();
+  return static_cast<int32_t>(
+      std::clamp<int64_t>(wait.count(), 0, kMaxSleepMs));
+}
+
+}  // namespace almondtally
--- /dev/null
+++ b/source/wire/loop.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "base/clock.h"
+
+struct st_h2o_evloop_t;
+
+namespace almondtally {
+
+using TimerId = uint64_t;
+
+/// The event loop of a process: sockets by h2o and timers on the runtime's
+/// clock, all on the calling thread.
+class Loop {
+ public:
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  const Clock& clock() const { return clock_; }
+  MonotonicTime now() const { return Now(clock_); }
+  st_h2o_evloop_t* native() const { return native_; }
+
+  /// Calls `fn` once after `delay`.
+  /// @return an id for Cancel.
+  TimerId After(Duration delay, std::function<void()> fn);
+  /// Calls `fn` every `period` for as long as the loop runs.
+  void Every(Duration period, std::function<void()> fn);
+  /// Forgets a timer; does nothing if it has already run.
+  void Cancel(TimerId timer);
+
+  /// Runs until Stop is called.
+  void Run();
+  void Stop() { stopped_ = true; }
+
+ private:
+  void RunDueTimers();
+  int32_t MillisToNextTimer() const;
+
+  Clock clock_;
+  st_h2o_evloop_t* native_;
+  bool stopped_ = false;
+  TimerId next_id_ = 1;
+  std::map<std::pair<MonotonicTime, TimerId>, std::function<void()>> timers_;
+  std::map<TimerId, MonotonicTime> due_;
+};
+
+}  // namespace almondtally
