--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -10,7 +10,7 @@
 
 struct LogState {
   std::string process;
-  bool quiet = false;
+  LogLevel least = LogLevel::kInfo;
 };
 
 LogState& State() {
@@ -179,9 +179,9 @@
   return out;
 }
 
-void InitLog(const std::string& process, bool quiet) {
+void InitLog(const std::string& process, LogLevel least) {
   State().process = process;
-  State().quiet = quiet;
+  State().least = least;
   el::Configurations conf;
   conf.setToDefault();
   conf.setGlobally(el::ConfigurationType::ToFile, "false");
@@ -195,7 +195,7 @@
 
 void Log(Event event, std::initializer_list<LogField> fields) {
   const LogLevel level = Find(event).level;
-  if (level == LogLevel::kInfo && State().quiet) return;
+  if (level < State().least) return;
   const std::string line = FormatLogLine(event, fields);
   switch (level) {
     case LogLevel::kInfo:
@@ -207,6 +207,8 @@
     case LogLevel::kError:
       LOG(ERROR) << line;
       break;
+    case LogLevel::kOff:
+      break;
   }
 }
 
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -20,7 +20,7 @@
   kWire,
 };
 
-enum class LogLevel : uint8_t { kInfo, kWarning, kError };
+enum class LogLevel : uint8_t { kInfo, kWarning, kError, kOff };
 
 /// Numbered log events. The number never changes once released;
 /// docs/LOG-EVENTS.md is the catalogue.
@@ -92,8 +92,8 @@
 
 /// Sets where and how this process logs.
 /// @param process name put on every line.
-/// @param quiet drops informational lines if true.
-void InitLog(const std::string& process, bool quiet);
+/// @param least drops lines below this level.
+void InitLog(const std::string& process, LogLevel least);
 
 /// Writes one line: event number, name and the fields as key=value.
 void Log(Event event, std::initializer_list<LogField> fields);
--- a/source/entry/admin_api.cc
+++ b/source/entry/admin_api.cc
@@ -104,7 +104,7 @@
           {"failures", task.failures},
           {"evictions", task.evictions},
           {"checkpoint", task.checkpoint},
-          {"confirmed", chunk.notes[at].confirmed},
+          {"confirmed", chunk.notes[at].confirmed_by.value != 0},
           {"reason", chunk.notes[at].reason.empty() ? job.parked
                                                     : chunk.notes[at].reason}};
 }
--- a/source/entry/announcements.cc
+++ b/source/entry/announcements.cc
@@ -105,6 +105,17 @@
 
 }  // namespace
 
+AnnounceAnswer TakeAnnouncement(EntryContext& context, const Announce& announce,
+                                const Address& address) {
+  const AnnounceEffect effect =
+      TakeAnnounce(context.vms, announce, address, context.loop.now());
+  LogEffect(announce, effect);
+  TakeLoads(context, announce);
+  AnnounceAnswer answer = MakeAnswer(context, announce);
+  answer.acknowledged = TakeEndedRuns(context, announce);
+  return answer;
+}
+
 void HandleAnnounce(EntryContext& context, const Exchange& exchange) {
   WireReason why;
   const auto announce = DecodeMessage<Announce>(exchange.request().body, why);
@@ -116,15 +127,7 @@
     context.metrics.CountBadInput();
     return exchange.Answer(kBadRequest, {}, "not an announcement");
   }
-  const AnnounceEffect effect =
-      TakeAnnounce(context.vms, *announce, *address, context.loop.now());
-  LogEffect(*announce, effect);
-  if (effect == AnnounceEffect::kRestarted) {
-    Unconfirm(context.board, announce->vm);
-  }
-  TakeLoads(context, *announce);
-  AnnounceAnswer answer = MakeAnswer(context, *announce);
-  answer.acknowledged = TakeEndedRuns(context, *announce);
+  const AnnounceAnswer answer = TakeAnnouncement(context, *announce, *address);
   exchange.Answer(kOk, {}, EncodeMessage(answer));
 }
 
--- a/source/entry/announcements.h
+++ b/source/entry/announcements.h
@@ -5,7 +5,12 @@
 
 namespace almondtally {
 
-/// Answers an announcement of a target.
+/// Takes over an announcement of a target.
+/// @param address where the target is reached.
+AnnounceAnswer TakeAnnouncement(EntryContext& context, const Announce& announce,
+                                const Address& address);
+
+/// Answers an announcement that came over HTTP.
 void HandleAnnounce(EntryContext& context, const Exchange& exchange);
 
 /// Drops targets that have been silent for too long. Call about once a
--- a/source/entry/batch_system.cc
+++ b/source/entry/batch_system.cc
@@ -50,6 +50,7 @@
   CreateServiceJobs();
   FenceSilentVms();
   ReleaseFenced(context_.board, ViewOf(context_));
+  SweepReservations(context_.board, context_.vms);
   SendStops();
   LookUpUnknown();
 }
@@ -171,13 +172,16 @@
   for (const StartBatch& batch : TakeStartMessages(
            context_.board, ViewOf(context_), context_.settings.id)) {
     const VmId vm = batch.vm;
+    const Incarnation asked = batch.request.incarnation;
     context_.links.Send<StartAnswer>(
         context_.vms.at(vm).address, peer_path::kStart, batch.request,
         kPeerTimeout,
-        [this, vm](const std::optional<StartAnswer>& answer, const auto&) {
+        [this, vm, asked](const std::optional<StartAnswer>& answer,
+                          const auto&) {
           if (!answer) return;
           for (const StartResult& result : answer->results) {
-            TakeStartResult(context_.board, ViewOf(context_), vm, result);
+            TakeStartResult(context_.board, ViewOf(context_), vm, asked,
+                            result);
             context_.metrics.CountTaskEvent(
                 "start_" + nlohmann::json(result.verdict).get<std::string>());
           }
--- a/source/entry/serve.cc
+++ b/source/entry/serve.cc
@@ -212,7 +212,8 @@
     std::fprintf(stderr, "almondtally serve: %s\n", why.text.c_str());
     return 2;
   }
-  InitLog("entry", settings->Flag("quiet"));
+  InitLog("entry",
+          settings->Flag("quiet") ? LogLevel::kWarning : LogLevel::kInfo);
   if (settings->Flag("check")) {
     std::printf("settings are valid\n");
     return 0;
--- a/source/peer/links.cc
+++ b/source/peer/links.cc
@@ -10,6 +10,13 @@
 
 }  // namespace
 
+Links::Links(Loop& loop)
+    : loop_(loop),
+      transport_([this](const Address& to, const char* path, std::string bytes,
+                        Duration timeout, BytesFn fn) {
+        SendBytes(to, path, std::move(bytes), timeout, std::move(fn));
+      }) {}
+
 PeerLink& Links::To(const Address& address) {
   auto& link = links_[address];
   if (link == nullptr) link = std::make_unique<PeerLink>(loop_, address);
--- a/source/peer/links.h
+++ b/source/peer/links.h
@@ -14,7 +14,17 @@
 /// Links to other processes, made on demand.
 class Links {
  public:
-  explicit Links(Loop& loop) : loop_(loop) {}
+  using BytesFn =
+      std::function<void(std::optional<std::string>, const WireReason&)>;
+  /// Carries one message to a process and its answer back.
+  using Transport =
+      std::function<void(const Address& to, const char* path, std::string bytes,
+                         Duration timeout, BytesFn fn)>;
+
+  explicit Links(Loop& loop);
+
+  /// Puts another transport in place; for tests.
+  void SetTransport(Transport transport) { transport_ = std::move(transport); }
 
   PeerLink& To(const Address& address);
   /// Closes the link; calls on it end as lost.
@@ -28,24 +38,22 @@
   void Send(const Address& to, const char* path, const Message& message,
             Duration timeout,
             std::function<void(std::optional<Answer>, const WireReason&)> fn) {
-    SendBytes(to, path, EncodeMessage(message), timeout,
-              [fn = std::move(fn)](std::optional<std::string> bytes,
-                                   const WireReason& why) {
-                if (!bytes) return fn(std::nullopt, why);
-                WireReason decode_why;
-                auto answer = DecodeMessage<Answer>(*bytes, decode_why);
-                fn(std::move(answer), decode_why);
-              });
+    transport_(to, path, EncodeMessage(message), timeout,
+               [fn = std::move(fn)](std::optional<std::string> bytes,
+                                    const WireReason& why) {
+                 if (!bytes) return fn(std::nullopt, why);
+                 WireReason decode_why;
+                 auto answer = DecodeMessage<Answer>(*bytes, decode_why);
+                 fn(std::move(answer), decode_why);
+               });
   }
 
  private:
-  using BytesFn =
-      std::function<void(std::optional<std::string>, const WireReason&)>;
-
   void SendBytes(const Address& to, const char* path, std::string bytes,
                  Duration timeout, BytesFn fn);
 
   Loop& loop_;
+  Transport transport_;
   std::map<Address, std::unique_ptr<PeerLink>> links_;
 };
 
--- a/source/placement/job_board.cc
+++ b/source/placement/job_board.cc
@@ -14,7 +14,9 @@
 constexpr size_t kMaxAvoided = 4;
 constexpr Duration kResend{1'000};
 
-ChunkEntity* FindChunk(JobBoard& board, const TaskId& task) {
+template <typename Board>
+auto FindChunk(Board& board, const TaskId& task)
+    -> decltype(&board.jobs.begin()->second.chunks.begin()->second) {
   const auto job = board.jobs.find(task.job);
   if (job == board.jobs.end()) return nullptr;
   const uint32_t first = task.index / kTasksPerChunk * kTasksPerChunk;
@@ -44,7 +46,7 @@
 void StageEnd(const JobEntity& job, TaskRecord& task, TaskNote& note,
               const VmId& vm, const EndedRun& ended) {
   if (!ended.checkpoint.empty()) task.checkpoint = ended.checkpoint;
-  note.confirmed = false;
+  note.confirmed_by = Incarnation(0);
   switch (ended.outcome) {
     case RunOutcome::kFinished:
       task.state = TaskState::kDone;
@@ -180,7 +182,7 @@
   ++task.epoch.value;
   task.vm = choice.vm;
   task.generation = vm.generation;
-  note.confirmed = false;
+  note.confirmed_by = Incarnation(0);
   note.next_send = MonotonicTime{};
   note.reason = choice.reason;
   candidate.chunk->dirty = true;
@@ -444,7 +446,7 @@
 }
 
 void TakeStartResult(JobBoard& board, BoardView view, const VmId& vm,
-                     const StartResult& result) {
+                     Incarnation asked, const StartResult& result) {
   const auto row = view.vms.find(vm);
   if (row != view.vms.end() && result.verdict != StartVerdict::kRetry) {
     const auto it = row->second.reservations.find(result.run);
@@ -463,7 +465,7 @@
   TaskNote& note = chunk->notes[at];
   switch (result.verdict) {
     case StartVerdict::kAccepted:
-      note.confirmed = true;
+      note.confirmed_by = asked;
       return;
     case StartVerdict::kEnded:
     case StartVerdict::kRetry:
@@ -484,12 +486,17 @@
   chunk->dirty = true;
 }
 
-void Unconfirm(JobBoard& board, const VmId& vm) {
-  ForEachAssigned(board, [&](JobEntity&, ChunkEntity& chunk, size_t at) {
-    if (chunk.committed.tasks[at].vm != vm) return;
-    chunk.notes[at].confirmed = false;
-    chunk.notes[at].next_send = MonotonicTime{};
-  });
+void SweepReservations(const JobBoard& board, VmTable& vms) {
+  for (auto& [id, vm] : vms) {
+    std::erase_if(vm.reservations, [&, vm_id = id](const auto& it) {
+      const auto& [run, reservation] = it;
+      if (reservation.answered_at) return false;
+      const ChunkEntity* chunk = FindChunk(board, run.task);
+      if (chunk == nullptr) return true;
+      const size_t at = run.task.index - chunk->wanted.first;
+      return !IsAssignedAs(chunk->wanted.tasks[at], vm_id, run.epoch);
+    });
+  }
 }
 
 void PlacePending(JobBoard& board, BoardView view, size_t most) {
@@ -542,7 +549,7 @@
     TaskRecord& wanted = chunk.wanted.tasks[at];
     if (exclusive) ++wanted.evictions;
     MakePending(wanted, job.row.cancelled);
-    chunk.notes[at].confirmed = false;
+    chunk.notes[at].confirmed_by = Incarnation(0);
     chunk.dirty = true;
   });
 }
@@ -614,10 +621,10 @@
   ForEachAssigned(board, [&](JobEntity& job, ChunkEntity& chunk, size_t at) {
     const TaskRecord& task = chunk.committed.tasks[at];
     TaskNote& note = chunk.notes[at];
-    if (note.confirmed || view.now < note.next_send) return;
-    if (job.row.cancelled) return;
+    if (view.now < note.next_send || job.row.cancelled) return;
     const auto vm = view.vms.find(task.vm);
     if (vm == view.vms.end()) return;
+    if (note.confirmed_by == vm->second.incarnation) return;
     if (IsSilent(vm->second, view.now, kSilence)) return;
     if (view.now - chunk.validated_at > kValidationAge) {
       chunk.stale = true;
--- a/source/placement/job_board.h
+++ b/source/placement/job_board.h
@@ -19,8 +19,9 @@
 
 /// What an entry knows of one task besides its row.
 struct TaskNote {
-  /// The VM has said that it has the run.
-  bool confirmed = false;
+  /// The life of the target process that said it has the run; 0 for none.
+  /// A later life must be asked again.
+  Incarnation confirmed_by;
   MonotonicTime next_send{};
   /// VMs that refused the task or on which it failed lately.
   std::vector<VmId> avoid;
@@ -97,11 +98,13 @@
                       const EndedRun& ended);
 
 /// Takes over a target's answer to a start.
+/// @param asked the life of the target process that the start was meant for.
 void TakeStartResult(JobBoard& board, BoardView view, const VmId& vm,
-                     const StartResult& result);
+                     Incarnation asked, const StartResult& result);
 
-/// Forgets what a VM has confirmed, after its target process was replaced.
-void Unconfirm(JobBoard& board, const VmId& vm);
+/// Gives back room that was reserved for assignments which did not come
+/// about. Call about once a second.
+void SweepReservations(const JobBoard& board, VmTable& vms);
 
 /// Places pending tasks, urgent ones first, each team within its quota.
 /// @param most how many tasks at most.
--- a/source/target/target_main.cc
+++ b/source/target/target_main.cc
@@ -15,23 +15,6 @@
 
 namespace almondtally {
 
-TargetContext::TargetContext(Loop& it, TargetSettings its_settings,
-                             Worker its_worker)
-    : loop(it),
-      settings(std::move(its_settings)),
-      worker(std::move(its_worker)),
-      http(it, Duration(600'000)),
-      links(it),
-      random(SeededFromSystem()) {
-  // Kept below 2^63 so that every header and codec can carry it.
-  constexpr uint64_t kIncarnationMask = (uint64_t{1} << 62) - 1;
-  tasks.incarnation = Incarnation((random() & kIncarnationMask) + 1);
-  tasks.started_at = it.now();
-  for (const Address& entry : settings.entries) {
-    entries[entry].is_seed = true;
-  }
-}
-
 namespace {
 
 constexpr Duration kTick{50};
@@ -192,7 +175,8 @@
     std::fprintf(stderr, "almondtally-target: %s\n", why.text.c_str());
     return 2;
   }
-  InitLog("target", settings->Flag("quiet"));
+  InitLog("target",
+          settings->Flag("quiet") ? LogLevel::kWarning : LogLevel::kInfo);
   if (settings->Flag("check")) {
     std::printf("settings are valid\n");
     return 0;
--- a/source/wire/http_client.cc
+++ b/source/wire/http_client.cc
@@ -201,23 +201,28 @@
 }  // namespace detail
 
 HttpClient::HttpClient(Loop& loop, Duration io_timeout)
-    : state_(std::make_unique<detail::ClientState>()) {
-  state_->loop = &loop;
-  h2o_timeout_init(loop.native(), &state_->io_timeout,
-                   static_cast<uint64_t>(io_timeout.count()));
-  state_->context.loop = loop.native();
-  state_->context.io_timeout = &state_->io_timeout;
-}
+    : loop_(loop), io_timeout_(io_timeout) {}
 
 // Timeouts and pools stay linked to the loop until the process ends.
 HttpClient::~HttpClient() { (void)state_.release(); }
 
+detail::ClientState& HttpClient::State() {
+  if (state_ != nullptr) return *state_;
+  state_ = std::make_unique<detail::ClientState>();
+  state_->loop = &loop_;
+  h2o_timeout_init(loop_.native(), &state_->io_timeout,
+                   static_cast<uint64_t>(io_timeout_.count()));
+  state_->context.loop = loop_.native();
+  state_->context.io_timeout = &state_->io_timeout;
+  return *state_;
+}
+
 std::shared_ptr<Call> HttpClient::Start(const Address& to, HttpRequest request,
                                         bool reuse, Duration timeout,
                                         CallHooks hooks) {
-  auto call = std::make_shared<detail::Http1Call>(*state_->loop, to, request,
-                                                  reuse, std::move(hooks));
-  call->Begin(*state_, to, reuse, timeout);
+  auto call = std::make_shared<detail::Http1Call>(loop_, to, request, reuse,
+                                                  std::move(hooks));
+  call->Begin(State(), to, reuse, timeout);
   return call;
 }
 
--- a/source/wire/http_client.h
+++ b/source/wire/http_client.h
@@ -31,6 +31,11 @@
                               bool reuse, Duration timeout, CallHooks hooks);
 
  private:
+  /// Made when the first call is.
+  detail::ClientState& State();
+
+  Loop& loop_;
+  Duration io_timeout_;
   std::unique_ptr<detail::ClientState> state_;
 };
 
--- a/source/wire/loop.cc
+++ b/source/wire/loop.cc
@@ -11,12 +11,17 @@
 
 }  // namespace
 
-Loop::Loop() : native_(h2o_evloop_create()) {}
+Loop::Loop() = default;
 
 // h2o's loop cannot be destroyed while sockets are linked to it; the process
 // ends right after, so the loop is left to the operating system.
 Loop::~Loop() = default;
 
+st_h2o_evloop_t* Loop::native() {
+  if (native_ == nullptr) native_ = h2o_evloop_create();
+  return native_;
+}
+
 TimerId Loop::After(Duration delay, std::function<void()> fn) {
   const TimerId id = next_id_++;
   const MonotonicTime due = now() + delay;
@@ -41,7 +46,7 @@
 
 void Loop::Run() {
   while (!stopped_) {
-    h2o_evloop_run(native_, MillisToNextTimer());
+    h2o_evloop_run(native(), MillisToNextTimer());
     RunDueTimers();
   }
 }
--- a/source/wire/loop.h
+++ b/source/wire/loop.h
@@ -23,8 +23,11 @@
   Loop& operator=(const Loop&) = delete;
 
   const Clock& clock() const { return clock_; }
+  /// For tests, which pause and advance it.
+  Clock& clock_for_tests() { return clock_; }
   MonotonicTime now() const { return Now(clock_); }
-  st_h2o_evloop_t* native() const { return native_; }
+  /// The loop of h2o, made when it is first needed.
+  st_h2o_evloop_t* native();
 
   /// Calls `fn` once after `delay`.
   /// @return an id for Cancel.
@@ -38,12 +41,14 @@
   void Run();
   void Stop() { stopped_ = true; }
 
- private:
+  /// Runs the timers that are due. Tests call it in place of Run.
   void RunDueTimers();
+
+ private:
   int32_t MillisToNextTimer() const;
 
   Clock clock_;
-  st_h2o_evloop_t* native_;
+  st_h2o_evloop_t* native_ = nullptr;
   bool stopped_ = false;
   TimerId next_id_ = 1;
   std::map<std::pair<MonotonicTime, TimerId>, std::function<void()>> timers_;
