--- a/source/peer/messages.h
+++ b/source/peer/messages.h
@@ -273,13 +273,12 @@
 /// @param why tells what is wrong with it.
 template <typename T>
 std::optional<T> DecodeMessage(const std::string& bytes, WireReason& why) {
-  const nlohmann::json in =
-      nlohmann::json::from_cbor(bytes, /*strict=*/true, false);
-  if (!in.is_object()) {
-    why.Set(WireError::kDecode, "not a CBOR map");
-    return std::nullopt;
-  }
   try {
+    const nlohmann::json in = nlohmann::json::from_cbor(bytes);
+    if (!in.is_object()) {
+      why.Set(WireError::kDecode, "not a CBOR map");
+      return std::nullopt;
+    }
     T message = in.get<T>();
     if (message.message_version == kMessageVersion) return message;
     why.Set(WireError::kDecode, "message version " +
--- a/source/target/request_table.cc
+++ b/source/target/request_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 namespace almondtally {
@@ -10,14 +11,21 @@
 /// Records are kept this much longer than messages about them are believed.
 constexpr Duration kMemoryMargin{5'000};
 constexpr size_t kMaxRecords = 200'000;
-/// An answer this many times slower than usual means that the VM is pressed.
+/// Answers this many times slower than usual mean that the VM is pressed.
 constexpr double kSlowFactor = 2.0;
-/// Shorter times are noise and never count as slow.
+/// Smaller differences are noise.
 constexpr double kNoiseMs = 5.0;
-constexpr double kCut = 0.85;
-constexpr double kRaise = 0.1;
-constexpr double kForget = 0.002;
-constexpr Duration kCutEvery{200};
+constexpr double kCut = 0.8;
+constexpr double kRaise = 1.0;
+constexpr double kForget = 0.01;
+/// Answers in a window.
+constexpr size_t kWindow = 16;
+
+double MedianOf(std::vector<double> values) {
+  const auto middle = values.begin() + static_cast<int64_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
 
 Duration MemoryOf(bool keyed) { return keyed ? kKeyedAge : kUnkeyedAge; }
 
@@ -43,24 +51,27 @@
 
 }  // namespace
 
-void Observe(AdaptiveLimit& limit, MonotonicTime now, Duration took,
-             int64_t in_use, int64_t declared) {
-  const double ms = std::max<double>(1.0, static_cast<double>(took.count()));
-  if (limit.usual_ms == 0 || ms < limit.usual_ms) {
-    limit.usual_ms = ms;
+void Observe(AdaptiveLimit& limit, Duration took, int64_t in_use,
+             int64_t declared) {
+  limit.window_ms.push_back(static_cast<double>(took.count()));
+  const bool is_full = static_cast<double>(in_use) + 1.0 >= limit.limit;
+  limit.was_full = limit.was_full || is_full;
+  if (limit.window_ms.size() < kWindow) return;
+  const double median = MedianOf(std::exchange(limit.window_ms, {}));
+  const bool was_full = std::exchange(limit.was_full, false);
+  const double bound = static_cast<double>(std::max<int64_t>(1, declared));
+  limit.limit = std::clamp(limit.limit, 1.0, bound);
+  if (limit.usual_ms == 0 || median < limit.usual_ms) {
+    limit.usual_ms = median;
   } else {
-    limit.usual_ms += (ms - limit.usual_ms) * kForget;
+    limit.usual_ms += (median - limit.usual_ms) * kForget;
   }
-  const double bound = static_cast<double>(declared);
-  limit.limit = std::clamp(limit.limit, 1.0, bound);
-  const bool slow = ms > limit.usual_ms * kSlowFactor + kNoiseMs;
-  if (slow && now - limit.last_cut >= kCutEvery) {
+  const bool is_slow = median > limit.usual_ms * kSlowFactor + kNoiseMs;
+  if (is_slow) {
     limit.limit = std::max(1.0, limit.limit * kCut);
-    limit.last_cut = now;
-    return;
+  } else if (was_full) {
+    limit.limit = std::min(bound, limit.limit + kRaise);
   }
-  const bool is_used = static_cast<double>(in_use) + 1.0 >= limit.limit;
-  if (!slow && is_used) limit.limit = std::min(bound, limit.limit + kRaise);
 }
 
 int64_t CurrentLimit(const AdaptiveLimit& limit, int64_t declared) {
@@ -121,8 +132,8 @@
   it->second.answer = std::move(answer);
   const auto queue = table.services.find(service);
   if (queue == table.services.end()) return;
-  Observe(queue->second.adaptive, now, now - it->second.since,
-          queue->second.in_use, queue->second.declared_slots);
+  Observe(queue->second.adaptive, now - it->second.since, queue->second.in_use,
+          queue->second.declared_slots);
   --queue->second.in_use;
   it->second.since = now;
 }
--- a/source/target/request_table.h
+++ b/source/target/request_table.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "peer/messages.h"
@@ -23,19 +24,23 @@
 constexpr size_t kMaxKeptAnswer = 64 << 10;
 
 /// Adjusts how many requests one executor gets at once: raised while answers
-/// stay near their usual time, lowered when they take much longer. Never
-/// above what was declared.
+/// take their usual time, lowered when they take much longer. Never above what
+/// was declared. Times are judged by the median of a window, so that a mix of
+/// short and long requests is not taken for pressure.
 struct AdaptiveLimit {
-  double limit = 8;
-  /// Usual time of an answer, in ms: the least seen, forgotten slowly.
+  /// Starts low: what is usual can only be learnt while nothing is pressed.
+  double limit = 4;
+  /// Usual median of a window in ms: the least seen, forgotten slowly.
   double usual_ms = 0;
-  MonotonicTime last_cut{};
+  std::vector<double> window_ms;
+  /// Whether all of the limit was in use at some time in this window.
+  bool was_full = false;
 };
 
 /// Takes over how long one request took.
 /// @param in_use requests in progress while it ran.
-void Observe(AdaptiveLimit& limit, MonotonicTime now, Duration took,
-             int64_t in_use, int64_t declared);
+void Observe(AdaptiveLimit& limit, Duration took, int64_t in_use,
+             int64_t declared);
 
 /// @return whole requests at once, at least 1 and at most `declared`.
 int64_t CurrentLimit(const AdaptiveLimit& limit, int64_t declared);
--- a/source/target/task_runner.cc
+++ b/source/target/task_runner.cc
@@ -18,10 +18,7 @@
     ServiceQueue& queue = it->second;
     queue.declared_slots = config->second.slots;
     queue.declared_queue = config->second.queue;
-    if (is_new) {
-      queue.adaptive.limit = static_cast<double>(queue.declared_slots);
-      AnnounceSoon(context);
-    }
+    if (is_new) AnnounceSoon(context);
   }
   std::erase_if(queues, [&](const auto& it) {
     if (it.second.in_use > 0 || !it.second.waiting.empty()) return false;
--- a/tests/fakes/worker_fake.cc
+++ b/tests/fakes/worker_fake.cc
@@ -354,6 +354,7 @@
     std::fprintf(stderr, "%s\n", listen_why.text.c_str());
     return 1;
   }
+  Record(worker, {{"event", "boot"}});
   loop.Every(kTick, [&] { Tick(worker); });
   loop.Run();
   return 0;
--- /dev/null
+++ b/tests/peer/messages_test.cc
@@ -0,0 +1,99 @@
+#include "peer/messages.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "peer/request_headers.h"
+
+namespace almondtally {
+namespace {
+
+Announce Sample() {
+  Announce announce;
+  announce.vm = VmId("vm-1");
+  announce.incarnation = Incarnation(7);
+  announce.services = {{ServiceId("s"), 8, 3, 1}};
+  announce.ended = {
+      {{{JobId("j"), 4}, Epoch(2)}, RunOutcome::kEvicted, "c", "why"}};
+  return announce;
+}
+
+TEST_CASE("a message survives the wire") {
+  WireReason why;
+  const auto read = DecodeMessage<Announce>(EncodeMessage(Sample()), why);
+  REQUIRE(read);
+  CHECK(read->vm == VmId("vm-1"));
+  CHECK(read->services[0].limit == 8);
+  CHECK(read->ended[0].outcome == RunOutcome::kEvicted);
+  CHECK(read->ended[0].run.task.index == 4);
+}
+
+TEST_CASE("a message of another version is refused by name") {
+  Announce announce = Sample();
+  announce.message_version = 2;
+  WireReason why;
+  CHECK_FALSE(DecodeMessage<Announce>(EncodeMessage(announce), why));
+  CHECK(why.text == "message version 2 is not known");
+}
+
+TEST_CASE("mutated messages are refused or read, and never more") {
+  const std::string good = EncodeMessage(Sample());
+  std::mt19937_64 random(3);
+  size_t refused = 0;
+  constexpr int kRounds = 20'000;
+  for (int i = 0; i < kRounds; ++i) {
+    std::string bytes = good;
+    const size_t changes = 1 + random() % 4;
+    for (size_t k = 0; k < changes; ++k) {
+      const size_t at = random() % bytes.size();
+      switch (random() % 3) {
+        case 0:
+          bytes[at] = static_cast<char>(random());
+          break;
+        case 1:
+          bytes.erase(at, 1 + random() % 8);
+          break;
+        default:
+          bytes.insert(at, 1, static_cast<char>(random()));
+      }
+      if (bytes.empty()) bytes = "x";
+    }
+    WireReason why;
+    if (DecodeMessage<Announce>(bytes, why)) continue;
+    ++refused;
+    CHECK(why.code == WireError::kDecode);
+  }
+  CHECK(refused > kRounds / 4);
+}
+
+TEST_CASE("paths of services are split, others are not taken") {
+  const auto path = SplitServicePath("/svc/sorteggio/lots/7?x=1");
+  REQUIRE(path);
+  CHECK(path->service == ServiceId("sorteggio"));
+  CHECK(path->rest == "/lots/7?x=1");
+  CHECK(SplitServicePath("/svc/s")->rest == "/");
+  CHECK(SplitServicePath("/svc/s?x=1")->rest == "/?x=1");
+  CHECK_FALSE(SplitServicePath("/svc/"));
+  CHECK_FALSE(SplitServicePath("/svc//x"));
+  CHECK_FALSE(SplitServicePath("/other"));
+}
+
+TEST_CASE("headers of one hop and ours are not passed on") {
+  const Headers out = EndToEndHeaders({{"connection", "close"},
+                                       {"x-almondtally-keyed", "1"},
+                                       {"idempotency-key", "k"},
+                                       {"accept", "*/*"}});
+  REQUIRE(out.size() == 2);
+  CHECK(out[0].name == "idempotency-key");
+}
+
+TEST_CASE("a refusal's reason cannot end a header") {
+  const Headers headers =
+      RefusalHeaders(Outcome::kNotRun, "a\r\nx: y", RequestId("r"));
+  CHECK(*FindHeader(headers, header::kReason) == "a  x: y");
+  CHECK(*FindHeader(headers, header::kOutcome) == "not_run");
+}
+
+}  // namespace
+}  // namespace almondtally
--- /dev/null
+++ b/tests/placement/job_board_test.cc
@@ -0,0 +1,275 @@
+#include "placement/job_board.h"
+
+#include <doctest/doctest.h>
+
+namespace almondtally {
+namespace {
+
+const MonotonicTime kNow{Duration(9'000'000)};
+const VmId kVm{"a"};
+
+/// A board with one VM, one team and the jobs that a test adds.
+struct Fixture {
+  JobBoard board;
+  VmTable vms;
+  Config config;
+  MonotonicTime now = kNow;
+  uint64_t version = 0;
+
+  Fixture() {
+    VmRow& vm = vms[kVm];
+    vm.vm = kVm;
+    vm.ready = true;
+    vm.incarnation = Incarnation(3);
+    vm.generation = Generation(1);
+    vm.capacity = {MilliCpu(8'000), Mebibytes(8'000), Accelerators(0)};
+    vm.last_heard = now;
+    config.objects[{ConfigKind::kTeam, "t"}] = {
+        ConfigVersion(1), R"({"quota":{"cpu":100000,"memory":100000}})"};
+  }
+
+  BoardView View() { return {vms, config, now}; }
+
+  void Add(const std::string& id, uint32_t count, int64_t cpu,
+           bool urgent = false) {
+    JobRow row;
+    row.spec.id = JobId(id);
+    row.spec.team = TeamId("t");
+    row.spec.count = count;
+    row.spec.each.cpu = MilliCpu(cpu);
+    row.spec.urgent = urgent;
+    TakeJobRow(board, row, RowVersion(++version));
+    for (const Chunk& chunk : MakeChunks(row.spec)) {
+      TakeChunkRow(board, chunk, RowVersion(++version), now);
+    }
+  }
+
+  void Place() { PlacePending(board, View(), 1'000); }
+
+  void Commit() {
+    const auto batch = TakeCommit(board, now);
+    if (batch) TakeCommitted(board, *batch, Committed{RowVersion(++version)});
+  }
+
+  const TaskRecord& Task(const std::string& job, uint32_t index) {
+    return board.jobs.at(JobId(job)).chunks.at(0).committed.tasks[index];
+  }
+
+  std::vector<StartBatch> Starts() {
+    return TakeStartMessages(board, View(), EntryId("e"));
+  }
+};
+
+TEST_CASE("a start is sent only for a committed assignment") {
+  Fixture it;
+  it.Add("j", 2, 1'000);
+  it.Place();
+  CHECK(it.Starts().empty());
+  it.Commit();
+  const auto starts = it.Starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].request.starts.size() == 2);
+  CHECK(starts[0].request.starts[0].epoch == Epoch(1));
+}
+
+TEST_CASE("a commit in doubt starts nothing until the row was read again") {
+  Fixture it;
+  it.Add("j", 1, 1'000);
+  it.Place();
+  const auto batch = TakeCommit(it.board, it.now);
+  REQUIRE(batch);
+  TakeCommitted(it.board, *batch, std::nullopt);
+  CHECK(it.Starts().empty());
+  CHECK(StaleKeys(it.board).size() == 1);
+  JobReason why;
+  const auto chunk = DecodeChunk(batch->transaction.puts[0].value, why);
+  TakeChunkRow(it.board, *chunk, RowVersion(99), it.now);
+  CHECK(it.Starts().size() == 1);
+}
+
+TEST_CASE("a burst of starts of one job is one row write") {
+  Fixture it;
+  it.Add("j", 64, 100);
+  it.Place();
+  const auto batch = TakeCommit(it.board, it.now);
+  REQUIRE(batch);
+  CHECK(batch->transaction.puts.size() == 1);
+}
+
+TEST_CASE("a job that no VM can run is parked and blocks nothing") {
+  Fixture it;
+  it.Add("a-giant", 1, 9'000);
+  it.Add("small", 1, 1'000);
+  it.Place();
+  CHECK(it.board.jobs.at(JobId("a-giant")).parked ==
+        "no VM is large enough for one task");
+  it.Commit();
+  CHECK(it.Task("small", 0).state == TaskState::kAssigned);
+}
+
+TEST_CASE("urgent work is placed first") {
+  Fixture it;
+  it.Add("a-batch", 8, 1'000);
+  it.Add("z-urgent", 1, 1'000, true);
+  it.Place();
+  it.Commit();
+  CHECK(it.Task("z-urgent", 0).state == TaskState::kAssigned);
+  CHECK(it.Task("a-batch", 7).state == TaskState::kPending);
+}
+
+TEST_CASE("a team gets no more than its quota") {
+  Fixture it;
+  it.config.objects[{ConfigKind::kTeam, "t"}].value =
+      R"({"quota":{"cpu":2000,"memory":100000}})";
+  it.Add("j", 4, 1'000);
+  it.Place();
+  it.Commit();
+  CHECK(it.Task("j", 1).state == TaskState::kAssigned);
+  CHECK(it.Task("j", 2).state == TaskState::kPending);
+  CHECK(it.board.jobs.at(JobId("j")).parked == "the team's quota is used");
+}
+
+TEST_CASE("an end is acknowledged only once it is committed") {
+  Fixture it;
+  it.Add("j", 1, 1'000);
+  it.Place();
+  it.Commit();
+  EndedRun ended;
+  ended.run = {{JobId("j"), 0}, Epoch(1)};
+  CHECK(TakeEnded(it.board, it.View(), kVm, ended) == EndedEffect::kWait);
+  CHECK(TakeEnded(it.board, it.View(), kVm, ended) == EndedEffect::kWait);
+  it.Commit();
+  CHECK(TakeEnded(it.board, it.View(), kVm, ended) ==
+        EndedEffect::kAcknowledge);
+  CHECK(it.Task("j", 0).state == TaskState::kDone);
+  REQUIRE(TakeFinished(it.board).size() == 1);
+  CHECK(TakeFinished(it.board).empty());
+}
+
+TEST_CASE("evicted work resumes from its checkpoint under a new epoch") {
+  Fixture it;
+  it.Add("j", 1, 1'000);
+  it.Place();
+  it.Commit();
+  EndedRun ended;
+  ended.run = {{JobId("j"), 0}, Epoch(1)};
+  ended.outcome = RunOutcome::kEvicted;
+  ended.checkpoint = "ckpt/1";
+  TakeEnded(it.board, it.View(), kVm, ended);
+  it.Place();
+  it.Commit();
+  CHECK(it.Task("j", 0).epoch == Epoch(2));
+  CHECK(it.Task("j", 0).checkpoint == "ckpt/1");
+  CHECK(it.Task("j", 0).evictions == 1);
+}
+
+TEST_CASE("a silent VM's tasks wait for the fence and a full lease") {
+  Fixture it;
+  it.Add("j", 1, 1'000);
+  it.Place();
+  it.Commit();
+  it.now += kSilence + Duration(1);
+  REQUIRE(VmsToFence(it.board, it.View()).size() == 1);
+  ReleaseFenced(it.board, it.View());
+  CHECK_FALSE(TakeCommit(it.board, it.now));
+  it.config.objects[{ConfigKind::kFence, "a"}] = {ConfigVersion(2),
+                                                  R"({"generation":1})"};
+  CHECK(VmsToFence(it.board, it.View()).empty());
+  ReleaseFenced(it.board, it.View());
+  it.now += kFenceWait - Duration(1);
+  ReleaseFenced(it.board, it.View());
+  CHECK_FALSE(TakeCommit(it.board, it.now));
+  it.now += Duration(1);
+  ReleaseFenced(it.board, it.View());
+  it.Commit();
+  CHECK(it.Task("j", 0).state == TaskState::kPending);
+}
+
+TEST_CASE("a target process that was replaced is asked again") {
+  Fixture it;
+  it.Add("j", 1, 1'000);
+  it.Place();
+  it.Commit();
+  it.Starts();
+  const StartResult result{
+      {{JobId("j"), 0}, Epoch(1)}, StartVerdict::kAccepted, ""};
+  TakeStartResult(it.board, it.View(), kVm, Incarnation(3), result);
+  it.now += Duration(2'000);
+  it.vms.at(kVm).last_heard = it.now;
+  CHECK(it.Starts().empty());
+  it.vms.at(kVm).incarnation = Incarnation(4);
+  CHECK(it.Starts().size() == 1);
+}
+
+TEST_CASE("old knowledge of a row is refreshed before it is acted on") {
+  Fixture it;
+  it.Add("j", 1, 1'000);
+  it.Place();
+  it.Commit();
+  it.now += kValidationAge + Duration(1);
+  it.vms.at(kVm).last_heard = it.now;
+  CHECK(it.Starts().empty());
+  CHECK(StaleKeys(it.board).size() == 1);
+}
+
+TEST_CASE("a cancelled job's tasks end, and its runs are stopped") {
+  Fixture it;
+  it.Add("j", 12, 1'000);
+  it.Place();
+  it.Commit();
+  JobRow row = it.board.jobs.at(JobId("j")).row;
+  row.cancelled = true;
+  TakeJobRow(it.board, row, RowVersion(1'000));
+  CHECK(RunsToStop(it.board, it.config).at(kVm).size() == 8);
+  it.Commit();
+  CHECK(it.Task("j", 11).state == TaskState::kCancelled);
+  EndedRun ended;
+  ended.run = {{JobId("j"), 0}, Epoch(1)};
+  ended.outcome = RunOutcome::kCancelled;
+  TakeEnded(it.board, it.View(), kVm, ended);
+  it.Commit();
+  CHECK(it.Task("j", 0).state == TaskState::kCancelled);
+}
+
+TEST_CASE("a task that keeps failing ends as failed") {
+  Fixture it;
+  it.Add("j", 1, 1'000);
+  for (uint64_t epoch = 1; epoch <= 5; ++epoch) {
+    it.Place();
+    it.Commit();
+    EndedRun ended;
+    ended.run = {{JobId("j"), 0}, Epoch(epoch)};
+    ended.outcome = RunOutcome::kFailed;
+    TakeEnded(it.board, it.View(), kVm, ended);
+    it.Commit();
+  }
+  CHECK(it.Task("j", 0).state == TaskState::kFailed);
+}
+
+TEST_CASE("a service follows its configured number of executors") {
+  Fixture it;
+  const std::set<TeamId> teams = {TeamId("t")};
+  const auto set = [&](int executors) {
+    it.config.objects[{ConfigKind::kService, "s"}] = {
+        ConfigVersion(2), R"({"team":"t","each":{"cpu":1000},"executors":)" +
+                              std::to_string(executors) + "}"};
+  };
+  set(2);
+  auto missing = SyncServices(it.board, it.config, teams);
+  REQUIRE(missing.size() == 1);
+  TakeJobRow(it.board, missing[0], RowVersion(1));
+  for (const Chunk& chunk : MakeChunks(missing[0].spec)) {
+    TakeChunkRow(it.board, chunk, RowVersion(1), it.now);
+  }
+  set(3);
+  CHECK(SyncServices(it.board, it.config, teams).empty());
+  it.Place();
+  it.Commit();
+  CHECK(it.Task("service:s", 2).state == TaskState::kAssigned);
+  set(1);
+  SyncServices(it.board, it.config, teams);
+  CHECK(RunsToStop(it.board, it.config).at(kVm).size() == 2);
+}
+
+}  // namespace
+}  // namespace almondtally
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -70,6 +70,8 @@
         self.bin = pathlib.Path(build) / "bin"
         self.folder = pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
+        for old in [*self.folder.glob("*.log"), *self.folder.glob("*.jsonl")]:
+            old.unlink()
         self.base = base_port
         self.centres = centres
         self.cpu, self.memory, self.slots = cpu, memory, slots
--- /dev/null
+++ b/tests/system/demo.py
@@ -0,0 +1,185 @@
+"""Shows the whole system at work and judges it by its history.
+
+Starts the stand-ins, entries and targets, serves requests and runs batch
+jobs, kills an entry and a target meanwhile, and prints what was served,
+placed, evicted and resumed. Exits 0 only if nothing was lost or doubled.
+"""
+
+import argparse
+import collections
+import random
+import shutil
+import sys
+import tempfile
+import threading
+import time
+
+from cluster import Cluster, call
+from history import check_history
+
+TEAM = {"quota": {"cpu": 300000, "memory": 900000}, "may_submit_urgent": True}
+SERVICE = {"team": "legnami", "executors": 3, "slots": 8, "queue": 16,
+           "each": {"cpu": 4000, "memory": 8000}, "deadline_ms": 5000}
+
+
+class Callers(threading.Thread):
+    """Registers entries of the draw, each at most once by its key."""
+
+    def __init__(self, cluster, name, seed):
+        super().__init__(daemon=True)
+        self.cluster, self.name = cluster, name
+        self.random = random.Random(seed)
+        self.results = collections.Counter()
+        self.ran, self.not_run, self.wrong = set(), set(), []
+        self.going = True
+
+    def run(self):
+        n = 0
+        while self.going:
+            n += 1
+            self.register(f"{self.name}-{n}")
+            time.sleep(self.random.uniform(0.005, 0.03))
+
+    def register(self, key):
+        for _ in range(6):  # a caller that comes again with the same key
+            outcome = self.attempt(key)
+            self.results[outcome] += 1
+            if outcome == "ran":
+                self.ran.add(key)
+                return
+            if outcome == "not_run":
+                last_not_run = True
+            else:
+                last_not_run = False
+            time.sleep(0.3)
+        if last_not_run:
+            self.not_run.add(key)
+
+    def attempt(self, key):
+        ports = self.cluster.entry_ports
+        port = self.random.choice(ports)
+        try:
+            status, headers, body = call(
+                port, "POST", f"/svc/sorteggio/register?key={key}", key,
+                {"idempotency-key": key}, timeout=8)
+        except OSError:
+            return "no answer"
+        outcome = headers.get("x-almondtally-outcome", "missing")
+        if outcome == "ran" and status == 200:
+            if body.decode() != f"done:/register?key={key}:{key}":
+                self.wrong.append((key, body))
+            return "ran"
+        return outcome
+
+
+def submit(cluster, name, count, work_ms, cpu, urgent=False):
+    status, body = cluster.admin("POST", "jobs", {
+        "id": name, "team": "legnami", "count": count, "work_ms": work_ms,
+        "urgent": urgent, "each": {"cpu": cpu, "memory": 1000}})
+    assert status == 202, body
+
+
+def all_done(cluster, jobs):
+    for name, count in jobs.items():
+        if cluster.job_counts(name).get("done", 0) != count:
+            return False
+    return True
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", required=True)
+    parser.add_argument("--base-port", type=int, default=21000)
+    parser.add_argument("--keep", help="folder for logs and histories")
+    options = parser.parse_args()
+    folder = options.keep or tempfile.mkdtemp(prefix="almondtally-demo-")
+    started = time.monotonic()
+
+    def say(text):
+        print(f"[{time.monotonic() - started:5.1f} s] {text}", flush=True)
+
+    cluster = Cluster(options.build, folder, options.base_port, entries=3,
+                      vms=5, quiet=False)
+    try:
+        cluster.wait_until("entries", lambda: all(
+            call(p, "GET", "/readyz")[0] == 200 for p in cluster.entry_ports))
+        cluster.put_config("team/legnami", TEAM)
+        cluster.put_config("service/sorteggio", SERVICE)
+        cluster.wait_ready()
+        cluster.wait_until("service", lambda: call(
+            cluster.entry_ports[0], "GET", "/svc/sorteggio/x")[0] == 200)
+        say("3 entries, 5 VMs and the service sorteggio are up")
+
+        callers = [Callers(cluster, f"c{i}", i) for i in range(4)]
+        for caller in callers:
+            caller.start()
+        jobs = {"drift-tests": 50, "parcels": 100, "late-entries": 4}
+        submit(cluster, "drift-tests", 50, 15000, 2000)
+        submit(cluster, "parcels", 100, 1000, 1000)
+        submit(cluster, "late-entries", 4, 500, 1000, urgent=True)
+        say("three jobs with 154 tasks submitted, four callers registering")
+        time.sleep(3)
+        cluster.entries[0].kill()
+        say("killed entry-0")
+        time.sleep(2)
+        busiest = cluster.targets[1]
+        busiest.kill()
+        say("killed the target process of vm-001; its worker goes on")
+        time.sleep(3)
+        cluster.targets[1] = cluster.spawn_target(1)
+        cluster.entries[0] = cluster.spawn_entry(0)
+        say("started both again")
+        cluster.workers[3].kill()
+        cluster.targets[3].kill()
+        say("lost vm-003 for good")
+        time.sleep(1)
+        cluster.admin("PUT", "config/vm/vm-002",
+                      {"value": {"draining": True}})
+        say("draining vm-002: its tasks are checkpointed and move")
+        cluster.wait_until("all jobs done",
+                           lambda: all_done(cluster, jobs), 120)
+        say("all jobs are done")
+        for caller in callers:
+            caller.going = False
+        for caller in callers:
+            caller.join(30)
+        code = cluster.targets[2].terminate()
+        say(f"drained vm-002 by SIGTERM: exit code {code}")
+
+        done = {name: cluster.job_counts(name) for name in jobs}
+        report = check_history(cluster.history())
+        stats = cluster.table_stats()
+    finally:
+        cluster.stop()
+
+    results = sum((c.results for c in callers), collections.Counter())
+    ran = set().union(*(c.ran for c in callers))
+    not_run = set().union(*(c.not_run for c in callers))
+    wrong = [w for c in callers for w in c.wrong]
+    effects = report.registrations
+    doubled = [k for k, n in effects.items() if n > 1]
+    lost = [k for k in ran if k not in effects]
+    untrue = [k for k in not_run if k in effects]
+    print("\nsummary")
+    print(f"  requests: {dict(results)}")
+    print(f"  registrations run: {len(effects)}, doubled: {len(doubled)}, "
+          f"answered but lost: {len(lost)}, wrong answers: {len(wrong)}, "
+          f"refused as not run but ran: {len(untrue)}")
+    print(f"  tasks: {done}")
+    print(f"  runs on workers: {report.runs}, of these resumed: "
+          f"{report.resumed}, from a checkpoint: {report.from_checkpoint}")
+    print(f"  run in two places at once: {len(report.overlaps)}, "
+          f"VMs over-committed: {len(report.overcommitted)}")
+    print(f"  table: {stats}")
+    bad = (doubled or lost or wrong or untrue or report.overlaps or
+           report.overcommitted or code != 0)
+    if not options.keep:
+        shutil.rmtree(folder, ignore_errors=True)
+    for line in report.describe():
+        print(line)
+    print("demo: " + ("FAILED" if bad else "all invariants held"))
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/target/request_table_test.cc
@@ -0,0 +1,145 @@
+#include "target/request_table.h"
+
+#include <doctest/doctest.h>
+
+namespace almondtally {
+namespace {
+
+const MonotonicTime kNow{Duration(5'000'000)};
+const ServiceId kService{"sorteggio"};
+
+RequestTable Table(int64_t slots, int64_t queue) {
+  RequestTable table;
+  ServiceQueue& it = table.services[kService];
+  it.declared_slots = slots;
+  it.declared_queue = queue;
+  it.adaptive.limit = static_cast<double>(slots);
+  return table;
+}
+
+RequestArrival Arrival(const std::string& id, bool keyed = false) {
+  return {kService, RequestId(id), keyed, Duration(1'000), kNow};
+}
+
+AdmitVerdict TryAdmit(RequestTable& table, const std::string& id,
+                      bool keyed = false) {
+  return AdmitRequest(table, kNow, Arrival(id, keyed)).verdict;
+}
+
+TEST_CASE("slots, then the queue, then a refusal") {
+  RequestTable table = Table(1, 1);
+  CHECK(TryAdmit(table, "a") == AdmitVerdict::kRun);
+  CHECK(TryAdmit(table, "b") == AdmitVerdict::kWait);
+  CHECK(TryAdmit(table, "c") == AdmitVerdict::kRefused);
+  CHECK_FALSE(TakeWaiting(table, kService));
+  FinishRequest(table, kNow, kService, RequestId("a"), Outcome::kRan, {});
+  CHECK(TakeWaiting(table, kService) == RequestId("b"));
+  CHECK(OpenRequests(table) == 1);
+}
+
+TEST_CASE("a withdrawn request never runs, whichever message comes first") {
+  RequestTable table = Table(1, 1);
+  CHECK(Withdraw(table, kNow, RequestId("late"), kNow) ==
+        WithdrawVerdict::kNeverRuns);
+  CHECK(TryAdmit(table, "late") == AdmitVerdict::kRefused);
+  TryAdmit(table, "a");
+  TryAdmit(table, "b");
+  CHECK(Withdraw(table, kNow, RequestId("b"), kNow) ==
+        WithdrawVerdict::kNeverRuns);
+  FinishRequest(table, kNow, kService, RequestId("a"), Outcome::kRan, {});
+  CHECK_FALSE(TakeWaiting(table, kService));
+}
+
+TEST_CASE("a withdrawal tells what became of a request that started") {
+  RequestTable table = Table(2, 0);
+  TryAdmit(table, "a");
+  CHECK(Withdraw(table, kNow, RequestId("a"), kNow) ==
+        WithdrawVerdict::kRunning);
+  FinishRequest(table, kNow, kService, RequestId("a"), Outcome::kRan,
+                WholeAnswer{200, {}, "x"});
+  CHECK(Withdraw(table, kNow, RequestId("a"), kNow) == WithdrawVerdict::kDone);
+  TryAdmit(table, "b");
+  FinishRequest(table, kNow, kService, RequestId("b"), Outcome::kRan, {});
+  CHECK(Withdraw(table, kNow, RequestId("b"), kNow) ==
+        WithdrawVerdict::kDoneWithoutAnswer);
+}
+
+TEST_CASE("what may have been forgotten is unknown, never 'not run'") {
+  RequestTable table = Table(2, 0);
+  TryAdmit(table, "a");
+  FinishRequest(table, kNow, kService, RequestId("a"), Outcome::kRan, {});
+  const MonotonicTime later = kNow + kUnkeyedAge + Duration(1);
+  Tidy(table, later);
+  CHECK(Withdraw(table, later, RequestId("a"), kNow) ==
+        WithdrawVerdict::kUnknown);
+  CHECK(AdmitRequest(table, later, Arrival("a")).verdict ==
+        AdmitVerdict::kUnknown);
+}
+
+TEST_CASE("a repeated key is known as long as messages about it are believed") {
+  RequestTable table = Table(2, 0);
+  TryAdmit(table, "k", true);
+  FinishRequest(table, kNow, kService, RequestId("k"), Outcome::kRan,
+                WholeAnswer{200, {}, "first"});
+  MonotonicTime later = kNow + kUnkeyedAge * 2;
+  Tidy(table, later);
+  CHECK(AdmitRequest(table, later, Arrival("k", true)).verdict ==
+        AdmitVerdict::kKnown);
+  later = kNow + kKeyedAge + Duration(1);
+  Tidy(table, later);
+  CHECK(AdmitRequest(table, later, Arrival("k", true)).verdict ==
+        AdmitVerdict::kUnknown);
+}
+
+TEST_CASE("a keyed request refused to one entry does not run for another") {
+  RequestTable table = Table(1, 0);
+  TryAdmit(table, "a");
+  CHECK(TryAdmit(table, "k", true) == AdmitVerdict::kRefused);
+  FinishRequest(table, kNow, kService, RequestId("a"), Outcome::kRan, {});
+  CHECK(TryAdmit(table, "k", true) == AdmitVerdict::kRefused);
+}
+
+TEST_CASE("waiting requests past their deadline are withdrawn") {
+  RequestTable table = Table(1, 4);
+  TryAdmit(table, "a");
+  TryAdmit(table, "b");
+  CHECK(ExpireWaiting(table, kNow).empty());
+  const auto expired = ExpireWaiting(table, kNow + Duration(1'000));
+  REQUIRE(expired.size() == 1);
+  CHECK(expired[0] == RequestId("b"));
+  CHECK(TryAdmit(table, "b") == AdmitVerdict::kRefused);
+}
+
+TEST_CASE("a limit declared too high comes down to what the VM bears") {
+  constexpr int64_t kDeclared = 80;
+  constexpr int64_t kBears = 8;
+  AdaptiveLimit limit;
+  for (int i = 0; i < 4'000; ++i) {
+    const int64_t in_use = CurrentLimit(limit, kDeclared);
+    const int64_t over = std::max<int64_t>(1, in_use / kBears);
+    Observe(limit, Duration(20 * over * over), in_use, kDeclared);
+  }
+  CHECK(CurrentLimit(limit, kDeclared) <= 2 * kBears);
+  CHECK(CurrentLimit(limit, kDeclared) >= kBears / 2);
+}
+
+TEST_CASE("a mix of short and long requests is not taken for pressure") {
+  AdaptiveLimit limit;
+  for (int i = 0; i < 2'000; ++i) {
+    const Duration took(i % 4 == 0 ? 400 : 5);
+    Observe(limit, took, CurrentLimit(limit, 8), 8);
+  }
+  CHECK(CurrentLimit(limit, 8) == 8);
+}
+
+TEST_CASE("the limit never exceeds what was declared") {
+  AdaptiveLimit limit;
+  for (int i = 0; i < 1'000; ++i) {
+    Observe(limit, Duration(10), 8, 8);
+  }
+  CHECK(CurrentLimit(limit, 8) == 8);
+  CHECK(CurrentLimit(limit, 3) == 3);
+}
+
+}  // namespace
+}  // namespace almondtally
