--- a/source/entry/batch_system.cc
+++ b/source/entry/batch_system.cc
@@ -13,6 +13,9 @@
 /// A gap between ticks longer than this means that the process was paused
 /// and that others may have acted meanwhile.
 constexpr Duration kPauseGap{2'000};
+/// Every target has announced itself by then. Placing earlier would crowd the
+/// first ones.
+constexpr Duration kWarmUp{2'500};
 constexpr size_t kPlacementsPerTick = 200;
 
 bool IsAmong(const std::vector<Row>& rows, const std::string& key) {
@@ -31,12 +34,15 @@
 
 }  // namespace
 
-BatchSystem::BatchSystem(EntryContext& context) : context_(context) {}
+BatchSystem::BatchSystem(EntryContext& context)
+    : context_(context), started_at_(context.loop.now()) {}
 
 void BatchSystem::Tick() {
   DetectPause();
   if (!context_.config.ready()) return;
-  PlacePending(context_.board, ViewOf(context_), kPlacementsPerTick);
+  if (KnowsTheVms()) {
+    PlacePending(context_.board, ViewOf(context_), kPlacementsPerTick);
+  }
   CommitStaged();
   SendStarts();
   RetireFinished();
@@ -55,6 +61,10 @@
   LookUpUnknown();
 }
 
+bool BatchSystem::KnowsTheVms() const {
+  return context_.loop.now() - started_at_ >= kWarmUp;
+}
+
 void BatchSystem::DetectPause() {
   const MonotonicTime now = context_.loop.now();
   const bool paused =
--- a/source/entry/batch_system.h
+++ b/source/entry/batch_system.h
@@ -22,6 +22,7 @@
   void Look(const JobId& job);
 
  private:
+  bool KnowsTheVms() const;
   void DetectPause();
   void ScanJobs();
   void TakeJobRows(const std::vector<Row>& rows);
@@ -37,6 +38,7 @@
   void DropForeign();
 
   EntryContext& context_;
+  MonotonicTime started_at_;
   MonotonicTime last_tick_{};
   MonotonicTime next_scan_{};
   bool scanning_ = false;
--- a/source/entry/serve.cc
+++ b/source/entry/serve.cc
@@ -220,7 +220,6 @@
   }
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
-  std::signal(SIGPIPE, SIG_IGN);
   Loop loop;
   EntryProcess process(loop, FromSettings(*settings));
   WireReason listen_why;
--- a/source/target/target_main.cc
+++ b/source/target/target_main.cc
@@ -183,7 +183,6 @@
   }
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
-  std::signal(SIGPIPE, SIG_IGN);
   Loop loop;
   TargetProcess process(loop, FromSettings(*settings));
   WireReason listen_why;
--- a/source/wire/loop.cc
+++ b/source/wire/loop.cc
@@ -1,6 +1,7 @@
 #include "wire/loop.h"
 
 #include <algorithm>
+#include <csignal>
 
 #include "wire/h2o_include.h"
 
@@ -18,7 +19,10 @@
 Loop::~Loop() = default;
 
 st_h2o_evloop_t* Loop::native() {
-  if (native_ == nullptr) native_ = h2o_evloop_create();
+  if (native_ != nullptr) return native_;
+  // A peer that closes while we write must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  native_ = h2o_evloop_create();
   return native_;
 }
 
--- a/tests/cli/questionnaire_test.cc
+++ b/tests/cli/questionnaire_test.cc
@@ -9,7 +9,7 @@
 namespace almondtally {
 namespace {
 
-AnswerFn From(std::map<std::string, std::string> answers) {
+AnswerFn From(const std::map<std::string, std::string>& answers) {
   return [answers](const Question& q) -> std::optional<std::string> {
     const auto it = answers.find(q.name);
     if (it == answers.end()) return std::nullopt;
--- a/tests/placement/vm_table_test.cc
+++ b/tests/placement/vm_table_test.cc
@@ -20,9 +20,9 @@
   return vm;
 }
 
-VmTable Table(std::vector<VmRow> all) {
+VmTable Table(const std::vector<VmRow>& all) {
   VmTable vms;
-  for (VmRow& it : all) vms[it.vm] = it;
+  for (const VmRow& it : all) vms[it.vm] = it;
   return vms;
 }
 
--- a/tests/routing/target_view_test.cc
+++ b/tests/routing/target_view_test.cc
@@ -19,14 +19,14 @@
   return target;
 }
 
-ServiceTargets Targets(std::vector<TargetLoad> all) {
+ServiceTargets Targets(const std::vector<TargetLoad>& all) {
   ServiceTargets targets;
-  for (TargetLoad& it : all) targets[it.vm] = it;
+  for (const TargetLoad& it : all) targets[it.vm] = it;
   return targets;
 }
 
 std::map<std::string, int> Draw(const ServiceTargets& targets,
-                                std::vector<VmId> tried = {}) {
+                                const std::vector<VmId>& tried = {}) {
   Random random(7);
   std::map<std::string, int> counts;
   for (int i = 0; i < 1'000; ++i) {
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -22,6 +22,7 @@
         self.start()
 
     def start(self):
+        self.expected_to_run = True
         log = open(self.log_path, "ab")
         self.child = subprocess.Popen(
             self.command, stdout=log, stderr=subprocess.STDOUT,
@@ -29,10 +30,13 @@
         log.close()
 
     def kill(self):
+        self.expected_to_run = self.child.poll() is not None and (
+            self.expected_to_run)
         self.child.kill()
         self.child.wait()
 
     def terminate(self, timeout=60):
+        self.expected_to_run = False
         self.child.terminate()
         return self.child.wait(timeout)
 
@@ -42,6 +46,10 @@
     def resume(self):
         self.child.send_signal(signal.SIGCONT)
 
+    def crashed(self):
+        """True if it ended although nobody ended it."""
+        return self.expected_to_run and not self.alive()
+
     def alive(self):
         return self.child.poll() is None
 
@@ -79,6 +87,7 @@
         self.platform_port = base_port
         self.entry_ports = [base_port + 1 + i for i in range(entries)]
         self.entries, self.targets, self.workers = [], [], []
+        self.all = []
         self.platform = self.spawn(
             "platform", "platform_fake", listen=self.platform_port)
         for i in range(entries):
@@ -92,7 +101,8 @@
                    "--listen", f"{HOST}:{listen}"]
         for key, value in flags.items():
             command += ["--" + key.replace("_", "-"), str(value)]
-        return Process(name, command, self.folder)
+        self.all.append(Process(name, command, self.folder))
+        return self.all[-1]
 
     def spawn_entry(self, i):
         return self.spawn(
@@ -187,6 +197,10 @@
                     pass  # the last line of a killed worker may be cut
         return events
 
+    def crashes(self):
+        return [f"{p.name} ended with {p.child.returncode}"
+                for p in self.all if p.crashed()]
+
     def stop(self):
         for process in [*self.targets, *self.workers, *self.entries,
                         self.platform]:
--- a/tests/system/demo.py
+++ b/tests/system/demo.py
@@ -7,71 +7,20 @@
 
 import argparse
 import collections
-import random
 import shutil
 import sys
 import tempfile
-import threading
 import time
 
+from callers import Callers
 from cluster import Cluster, call
-from history import check_history
+from history import check_history, check_requests
 
 TEAM = {"quota": {"cpu": 300000, "memory": 900000}, "may_submit_urgent": True}
 SERVICE = {"team": "legnami", "executors": 3, "slots": 8, "queue": 16,
            "each": {"cpu": 4000, "memory": 8000}, "deadline_ms": 5000}
 
 
-class Callers(threading.Thread):
-    """Registers entries of the draw, each at most once by its key."""
-
-    def __init__(self, cluster, name, seed):
-        super().__init__(daemon=True)
-        self.cluster, self.name = cluster, name
-        self.random = random.Random(seed)
-        self.results = collections.Counter()
-        self.ran, self.not_run, self.wrong = set(), set(), []
-        self.going = True
-
-    def run(self):
-        n = 0
-        while self.going:
-            n += 1
-            self.register(f"{self.name}-{n}")
-            time.sleep(self.random.uniform(0.005, 0.03))
-
-    def register(self, key):
-        for _ in range(6):  # a caller that comes again with the same key
-            outcome = self.attempt(key)
-            self.results[outcome] += 1
-            if outcome == "ran":
-                self.ran.add(key)
-                return
-            if outcome == "not_run":
-                last_not_run = True
-            else:
-                last_not_run = False
-            time.sleep(0.3)
-        if last_not_run:
-            self.not_run.add(key)
-
-    def attempt(self, key):
-        ports = self.cluster.entry_ports
-        port = self.random.choice(ports)
-        try:
-            status, headers, body = call(
-                port, "POST", f"/svc/sorteggio/register?key={key}", key,
-                {"idempotency-key": key}, timeout=8)
-        except OSError:
-            return "no answer"
-        outcome = headers.get("x-almondtally-outcome", "missing")
-        if outcome == "ran" and status == 200:
-            if body.decode() != f"done:/register?key={key}:{key}":
-                self.wrong.append((key, body))
-            return "ran"
-        return outcome
-
-
 def submit(cluster, name, count, work_ms, cpu, urgent=False):
     status, body = cluster.admin("POST", "jobs", {
         "id": name, "team": "legnami", "count": count, "work_ms": work_ms,
@@ -140,42 +89,36 @@
                            lambda: all_done(cluster, jobs), 120)
         say("all jobs are done")
         for caller in callers:
-            caller.going = False
-        for caller in callers:
-            caller.join(30)
+            caller.finish()
         code = cluster.targets[2].terminate()
         say(f"drained vm-002 by SIGTERM: exit code {code}")
 
         done = {name: cluster.job_counts(name) for name in jobs}
         report = check_history(cluster.history())
         stats = cluster.table_stats()
+        crashes = cluster.crashes()
     finally:
         cluster.stop()
 
     results = sum((c.results for c in callers), collections.Counter())
-    ran = set().union(*(c.ran for c in callers))
-    not_run = set().union(*(c.not_run for c in callers))
+    told = {k: v for c in callers for k, v in c.told.items()}
     wrong = [w for c in callers for w in c.wrong]
-    effects = report.registrations
-    doubled = [k for k, n in effects.items() if n > 1]
-    lost = [k for k in ran if k not in effects]
-    untrue = [k for k in not_run if k in effects]
+    broken = check_requests(report, told)
     print("\nsummary")
     print(f"  requests: {dict(results)}")
-    print(f"  registrations run: {len(effects)}, doubled: {len(doubled)}, "
-          f"answered but lost: {len(lost)}, wrong answers: {len(wrong)}, "
-          f"refused as not run but ran: {len(untrue)}")
+    print(f"  registrations run: {len(report.registrations)}, "
+          f"wrong answers: {len(wrong)}, broken promises: {broken or 'none'}")
     print(f"  tasks: {done}")
     print(f"  runs on workers: {report.runs}, of these resumed: "
           f"{report.resumed}, from a checkpoint: {report.from_checkpoint}")
     print(f"  run in two places at once: {len(report.overlaps)}, "
           f"VMs over-committed: {len(report.overcommitted)}")
     print(f"  table: {stats}")
-    bad = (doubled or lost or wrong or untrue or report.overlaps or
-           report.overcommitted or code != 0)
+    bad = (broken or wrong or report.overlaps or report.overcommitted or
+           crashes or code != 0)
     if not options.keep:
         shutil.rmtree(folder, ignore_errors=True)
-    for line in report.describe():
+    for line in [*report.describe(), *crashes]:
         print(line)
     print("demo: " + ("FAILED" if bad else "all invariants held"))
     return 1 if bad else 0
--- a/tests/system/history.py
+++ b/tests/system/history.py
@@ -87,3 +87,26 @@
     report.overcommitted = find_overcommitted(
         events, capacities or {vm: default for vm in vms})
     return report
+
+
+def check_requests(report, callers):
+    """Compares what callers were told with what ran.
+
+    `callers` maps each request to the last thing its caller was told: ran,
+    not_run or unknown. Returns a line for each kind of broken promise.
+    """
+    effects = report.registrations
+    found = []
+
+    def note(what, keys):
+        if keys:
+            found.append(f"{what}: {len(keys)}, first {sorted(keys)[0]}")
+
+    note("doubled", [k for k, n in effects.items() if n > 1])
+    note("answered but lost",
+         [k for k, told in callers.items()
+          if told == "ran" and k not in effects])
+    note("refused as not run but ran",
+         [k for k, told in callers.items()
+          if told == "not_run" and k in effects])
+    return found
--- a/tests/wire/wire_test.cc
+++ b/tests/wire/wire_test.cc
@@ -21,7 +21,7 @@
   sockaddr_in sin{};
   sin.sin_family = AF_INET;
   sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(fd, reinterpret_cast<sockaddr*>(&sin), sizeof sin);
+  REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&sin), sizeof sin) == 0);
   socklen_t n = sizeof sin;
   getsockname(fd, reinterpret_cast<sockaddr*>(&sin), &n);
   close(fd);
@@ -69,7 +69,7 @@
     CHECK(left == 0);
   }
 
-  CallHooks Collect(WholeAnswerFn fn) {
+  CallHooks Collect(const WholeAnswerFn& fn) {
     return CollectWhole(64 << 20, [this, fn](auto answer, CallEnd end) {
       fn(std::move(answer), end);
       if (--left == 0) loop.Stop();
