--- a/source/entry/entry_context.h
+++ b/source/entry/entry_context.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "base/random.h"
-#include "entry/metrics.h"
+#include "metrics/metrics.h"
 #include "peer/links.h"
 #include "placement/job_board.h"
 #include "placement/vm_table.h"
--- a/source/entry/metrics.cc
+++ b/source/metrics/metrics.cc
@@ -1,4 +1,4 @@
-#include "entry/metrics.h"
+#include "metrics/metrics.h"
 
 #include <prometheus/text_serializer.h>
 
--- a/source/entry/metrics.h
+++ b/source/metrics/metrics.h
@@ -13,7 +13,7 @@
 
 namespace almondtally {
 
-/// Metrics of an entry process, served on /metrics.
+/// Metrics of one process, served on /metrics.
 class Metrics {
  public:
   Metrics();
--- a/source/target/target_context.h
+++ b/source/target/target_context.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/random.h"
+#include "metrics/metrics.h"
 #include "peer/links.h"
 #include "platform/worker.h"
 #include "state/config.h"
@@ -52,6 +53,7 @@
   Worker worker;
   HttpClient http;
   Links links;
+  Metrics metrics;
   Random random;
   TargetConfig config;
   TaskTable tasks;
--- a/source/target/target_main.cc
+++ b/source/target/target_main.cc
@@ -127,9 +127,30 @@
       });
     }
     if (path == "/healthz") return exchange.Answer(200, {}, "ok\n");
+    if (path == "/metrics") return ServeMetrics(exchange);
     exchange.Answer(404, {}, "no such path\n");
   }
 
+  void ServeMetrics(const Exchange& exchange) {
+    const TaskTable& tasks = context_.tasks;
+    const MonotonicTime now = context_.loop.now();
+    const auto until = ValidUntil(tasks.proof);
+    const auto set = [&](const char* name, auto value) {
+      context_.metrics.SetGauge(name, static_cast<double>(value));
+    };
+    set("runs", tasks.runs.size());
+    set("tombstones", tasks.tombstones.size());
+    set("generation", tasks.generation.value);
+    set("proof_left_ms", until ? (*until - now).count() : -1);
+    set("config_version", context_.config.version.value);
+    set("requests_open", OpenRequests(context_.requests));
+    set("requests_remembered", context_.requests.records.size());
+    set("peer_bytes_out", context_.links.bytes_out());
+    set("peer_bytes_in", context_.links.bytes_in());
+    exchange.Answer(200, {{"content-type", "text/plain; version=0.0.4"}},
+                    context_.metrics.Text());
+  }
+
   void Tick() {
     if (stop_signal != 0 && !context_.leaving) BeginLeaving();
     RunTaskSystems(context_);
