Lost VMs resume from their newest checkpoint; a truer "not run" for keys

Cause 1: after the loss of a VM its tasks began again from nothing, because only an eviction told the table of a checkpoint. Ruled out: a row write for each checkpoint (27,000 tasks, far beyond the write budget). Change: a target tells the entry that looks after a run its newest checkpoint, at most every 10 s a run; the entry keeps it in memory and writes it only when the VM's fence wait is over. An entry that dies meanwhile costs that knowledge, not the task. Cause 2: a repeat of an idempotency key through a second entry could be told "not run" although the first entry was still free to move the claim to another target and run it. Change: the second entry moves the claim itself by compare-and-set, and if it cannot, it says "unknown".

Unit test for the checkpoint: failed before (empty), "ckpt/7" after.

--- a/source/entry/announcements.cc
+++ b/source/entry/announcements.cc
@@ -111,6 +111,9 @@
       TakeAnnounce(context.vms, announce, address, context.loop.now());
   LogEffect(announce, effect);
   TakeLoads(context, announce);
+  for (const RunCheckpoint& it : announce.checkpoints) {
+    TakeCheckpoint(context.board, announce.vm, it);
+  }
   AnnounceAnswer answer = MakeAnswer(context, announce);
   answer.acknowledged = TakeEndedRuns(context, announce);
   return answer;
--- a/source/entry/request_router.cc
+++ b/source/entry/request_router.cc
@@ -24,8 +24,10 @@
   Incarnation incarnation;
   TargetTime as_of;
   std::string choice_reason;
-  /// Row version of the claim of this key, once made by us.
+  /// Row version of the claim of this key, once known.
   RowVersion claim;
+  /// The claim was made for another request of this key.
+  bool claimed_by_other = false;
   std::shared_ptr<Call> call;
   bool counted_in_flight = false;
   /// The target said that it has not run it, and why.
@@ -196,6 +198,7 @@
         if (it->closed) return;
         if (done) {
           it->claim = done->version;
+          it->claimed_by_other = false;
           return Send(it);
         }
         if (why.code == PlatformError::kUnreachable ||
@@ -232,8 +235,8 @@
     it->incarnation = claim.incarnation;
     it->as_of = claim.as_of;
     it->choice_reason = "claimed by its idempotency key";
-    const bool ours = claim.request == it->id;
-    it->claim = ours ? rows->front().version : RowVersion(0);
+    it->claim = rows->front().version;
+    it->claimed_by_other = claim.request != it->id;
     it->id = claim.request;
     const auto vm = context_.vms.find(claim.vm);
     if (vm == context_.vms.end() ||
@@ -372,15 +375,16 @@
 void RequestRouter::RetryElsewhere(const RoutedPtr& it,
                                    const std::string& reason) {
   it->tried.push_back(it->vm);
-  const bool ours = it->key.empty() || it->idempotent || it->claim.value != 0;
-  const bool may_retry = ours && it->tried.size() < kMaxAttempts &&
-                         context_.loop.now() < it->deadline;
-  if (!may_retry) {
-    return Refuse(it, kUnavailable, Outcome::kNotRun, reason);
-  }
-  if (!TakeRetry(context_.retries)) {
-    return Refuse(it, kUnavailable, Outcome::kNotRun,
-                  reason + "; no retry: the retry budget is used up");
+  const bool may_retry =
+      it->tried.size() < kMaxAttempts && context_.loop.now() < it->deadline;
+  const bool has_budget = may_retry && TakeRetry(context_.retries);
+  if (!has_budget) {
+    // The entry that made the claim may still move it to another target.
+    const Outcome outcome =
+        it->claimed_by_other ? Outcome::kUnknown : Outcome::kNotRun;
+    return Refuse(
+        it, kUnavailable, outcome,
+        may_retry ? reason + "; the retry budget is used up" : reason);
   }
   context_.metrics.CountRetry();
   Attempt(it);
--- a/source/peer/messages.h
+++ b/source/peer/messages.h
@@ -59,6 +59,13 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(EndedRun, run, outcome,
                                                 checkpoint, reason)
 
+/// Newest checkpoint of a running task.
+struct RunCheckpoint {
+  WorkerRun run;
+  std::string checkpoint;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunCheckpoint, run, checkpoint)
+
 /// Load of one service at one target.
 struct ServiceLoad {
   ServiceId service;
@@ -90,13 +97,15 @@
   Resources used;
   std::vector<ServiceLoad> services;
   std::vector<EndedRun> ended;
+  /// Only to the entry that looks after the run, and not often.
+  std::vector<RunCheckpoint> checkpoints;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Announce, message_version, vm,
                                                 data_centre, rack, address,
                                                 incarnation, now_ms, generation,
                                                 ready, leaving, config,
                                                 capacity, committed, used,
-                                                services, ended)
+                                                services, ended, checkpoints)
 
 /// Part of the configuration that a target needs.
 struct ConfigUpdate {
--- a/source/placement/job_board.cc
+++ b/source/placement/job_board.cc
@@ -183,6 +183,7 @@
   task.vm = choice.vm;
   task.generation = vm.generation;
   note.confirmed_by = Incarnation(0);
+  note.checkpoint.clear();
   note.next_send = MonotonicTime{};
   note.reason = choice.reason;
   candidate.chunk->dirty = true;
@@ -486,6 +487,16 @@
   chunk->dirty = true;
 }
 
+void TakeCheckpoint(JobBoard& board, const VmId& vm,
+                    const RunCheckpoint& checkpoint) {
+  ChunkEntity* chunk = FindChunk(board, checkpoint.run.task);
+  if (chunk == nullptr || chunk->stale) return;
+  const size_t at = checkpoint.run.task.index - chunk->committed.first;
+  const TaskRecord& task = chunk->committed.tasks[at];
+  if (!IsAssignedAs(task, vm, checkpoint.run.epoch)) return;
+  chunk->notes[at].checkpoint = checkpoint.checkpoint;
+}
+
 void SweepReservations(const JobBoard& board, VmTable& vms) {
   for (auto& [id, vm] : vms) {
     std::erase_if(vm.reservations, [&, vm_id = id](const auto& it) {
@@ -548,6 +559,8 @@
          {"reason", exclusive ? "fence wait over" : "VM silent"}});
     TaskRecord& wanted = chunk.wanted.tasks[at];
     if (exclusive) ++wanted.evictions;
+    const std::string& checkpoint = chunk.notes[at].checkpoint;
+    if (!checkpoint.empty()) wanted.checkpoint = checkpoint;
     MakePending(wanted, job.row.cancelled);
     chunk.notes[at].confirmed_by = Incarnation(0);
     chunk.dirty = true;
--- a/source/placement/job_board.h
+++ b/source/placement/job_board.h
@@ -26,6 +26,8 @@
   /// VMs that refused the task or on which it failed lately.
   std::vector<VmId> avoid;
   std::string reason;
+  /// Newest checkpoint heard of; used if the VM is lost.
+  std::string checkpoint;
 };
 
 /// One chunk row as this entry last knew it, with what it wants it to become.
@@ -102,6 +104,10 @@
 void TakeStartResult(JobBoard& board, BoardView view, const VmId& vm,
                      Incarnation asked, const StartResult& result);
 
+/// Takes over a running task's newest checkpoint.
+void TakeCheckpoint(JobBoard& board, const VmId& vm,
+                    const RunCheckpoint& checkpoint);
+
 /// Gives back room that was reserved for assignments which did not come
 /// about. Call about once a second.
 void SweepReservations(const JobBoard& board, VmTable& vms);
--- a/source/target/announcer.cc
+++ b/source/target/announcer.cc
@@ -74,8 +74,10 @@
   EntryContact& contact = context.entries.at(entry);
   contact.in_flight = true;
   const MonotonicTime asked_at = context.loop.now();
+  Announce announce = MakeAnnounce(context);
+  announce.checkpoints = TakeCheckpoints(context.tasks, contact.id, asked_at);
   context.links.Send<AnnounceAnswer>(
-      entry, peer_path::kAnnounce, MakeAnnounce(context), kAnnounceTimeout,
+      entry, peer_path::kAnnounce, announce, kAnnounceTimeout,
       [&context, entry, asked_at](const std::optional<AnnounceAnswer>& answer,
                                   const WireReason& why) {
         const auto it = context.entries.find(entry);
@@ -83,6 +85,7 @@
         it->second.in_flight = false;
         if (answer) {
           it->second.last_answer = context.loop.now();
+          it->second.id = answer->entry;
           TakeAnswer(context, asked_at, *answer);
           return;
         }
--- a/source/target/target_context.h
+++ b/source/target/target_context.h
@@ -39,6 +39,7 @@
 
 /// One entry that this target announces itself to.
 struct EntryContact {
+  EntryId id;
   bool is_seed = false;
   bool in_flight = false;
   MonotonicTime last_answer{};
--- a/source/target/task_table.cc
+++ b/source/target/task_table.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr Duration kCallRetry{500};
+/// Least time between two announcements of one run's checkpoint.
+constexpr Duration kCheckpointEvery{10'000};
 /// Leases of services, which need no proof.
 constexpr Duration kServiceLease{30'000};
 
@@ -165,8 +167,14 @@
 StartResult Admit(TaskTable& table, MonotonicTime now,
                   const StartRequest& request, const StartItem& item) {
   if (const auto it = table.runs.find(item.run()); it != table.runs.end()) {
-    const bool ended = it->second.phase == RunPhase::kEnded ||
-                       it->second.phase == RunPhase::kStopping;
+    Run& known = it->second;
+    const bool ended =
+        known.phase == RunPhase::kEnded || known.phase == RunPhase::kStopping;
+    if (known.entry != request.entry) {
+      known.entry = request.entry;
+      known.announced_checkpoint.clear();
+      known.next_checkpoint_at = now;
+    }
     return Result(item, ended ? StartVerdict::kEnded : StartVerdict::kAccepted,
                   "");
   }
@@ -200,6 +208,9 @@
   Run run;
   run.item = item;
   run.checkpoint = item.checkpoint;
+  run.entry = request.entry;
+  run.announced_checkpoint = item.checkpoint;
+  run.next_checkpoint_at = now + kCheckpointEvery;
   run.next_call_at = now;
   table.runs[item.run()] = std::move(run);
   return Result(item, StartVerdict::kAccepted, "");
@@ -382,6 +393,23 @@
   return ended;
 }
 
+std::vector<RunCheckpoint> TakeCheckpoints(TaskTable& table,
+                                           const EntryId& entry,
+                                           MonotonicTime now) {
+  std::vector<RunCheckpoint> out;
+  for (auto& [key, run] : table.runs) {
+    const bool is_new = run.checkpoint != run.announced_checkpoint;
+    if (run.phase != RunPhase::kRunning || run.entry != entry || !is_new) {
+      continue;
+    }
+    if (now < run.next_checkpoint_at) continue;
+    run.announced_checkpoint = run.checkpoint;
+    run.next_checkpoint_at = now + kCheckpointEvery;
+    out.push_back({key, run.checkpoint});
+  }
+  return out;
+}
+
 bool Acknowledge(TaskTable& table, const WorkerRun& run, MonotonicTime now) {
   const auto it = table.runs.find(run);
   if (it == table.runs.end() || it->second.phase != RunPhase::kEnded) {
--- a/source/target/task_table.h
+++ b/source/target/task_table.h
@@ -44,6 +44,10 @@
   /// Until then a start whose answer was lost may still reach the worker;
   /// afterwards the lease that it carries has lapsed.
   MonotonicTime uncertain_until{};
+  /// The entry that last asked for this run, and what it knows.
+  EntryId entry;
+  std::string announced_checkpoint;
+  MonotonicTime next_checkpoint_at{};
 };
 
 /// Remembers a run that will not start again.
@@ -145,6 +149,12 @@
 /// @return ended runs that are not yet committed.
 std::vector<EndedRun> Ended(const TaskTable& table);
 
+/// @return checkpoints that `entry` should know in case this VM is lost, now
+/// marked as announced.
+std::vector<RunCheckpoint> TakeCheckpoints(TaskTable& table,
+                                           const EntryId& entry,
+                                           MonotonicTime now);
+
 /// Forgets a run whose end is committed, leaving a tombstone.
 /// @return true if the run was there.
 bool Acknowledge(TaskTable& table, const WorkerRun& run, MonotonicTime now);
--- a/tests/placement/job_board_test.cc
+++ b/tests/placement/job_board_test.cc
@@ -185,6 +185,23 @@
   CHECK(it.Task("j", 0).state == TaskState::kPending);
 }
 
+TEST_CASE("a lost VM's task goes on from the newest checkpoint heard of") {
+  Fixture it;
+  it.Add("j", 1, 1'000);
+  it.Place();
+  it.Commit();
+  const WorkerRun run{{JobId("j"), 0}, Epoch(1)};
+  TakeCheckpoint(it.board, kVm, {run, "ckpt/7"});
+  it.config.objects[{ConfigKind::kFence, "a"}] = {ConfigVersion(2),
+                                                  R"({"generation":1})"};
+  ReleaseFenced(it.board, it.View());
+  it.now += kFenceWait;
+  ReleaseFenced(it.board, it.View());
+  it.Commit();
+  CHECK(it.Task("j", 0).state == TaskState::kPending);
+  CHECK(it.Task("j", 0).checkpoint == "ckpt/7");
+}
+
 TEST_CASE("a target process that was replaced is asked again") {
   Fixture it;
   it.Add("j", 1, 1'000);
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import time
 
@@ -69,6 +70,20 @@
         connection.close()
 
 
+def free_base(base, span=200, most=30000):
+    """The first base port from `base` on that nothing listens on."""
+    while base < most:
+        try:
+            for port in (base, base + 1, base + 100, base + 102):
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind((HOST, port))
+            return base
+        except OSError:
+            base += span
+    raise OSError("no free ports")
+
+
 class Cluster:
     """Entries, targets, workers and the platform stand-in."""
 
@@ -80,6 +95,7 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         for old in [*self.folder.glob("*.log"), *self.folder.glob("*.jsonl")]:
             old.unlink()
+        base_port = free_base(base_port)
         self.base = base_port
         self.centres = centres
         self.cpu, self.memory, self.slots = cpu, memory, slots
--- a/tests/system/fault_rounds.py
+++ b/tests/system/fault_rounds.py
@@ -167,7 +167,7 @@
     with concurrent.futures.ThreadPoolExecutor(options.parallel) as pool:
         rounds = {
             seed: pool.submit(run_round, options.build, seed,
-                              options.base_port + 200 * (seed % 50),
+                              options.base_port + 200 * (seed % 30),
                               options.keep)
             for seed in seeds}
         for seed, future in rounds.items():
