--- a/source/entry/admin_api.cc
+++ b/source/entry/admin_api.cc
@@ -125,10 +125,10 @@
   for (const auto& [service, targets] : context.targets) {
     const auto config = FindService(context.config.config(), service);
     if (!config) continue;
-    for (const auto& [vm, target] : targets) {
+    for (const TargetLoad& target : targets) {
       if (target.limit >= config->slots) continue;
       out.push_back({{"service", service},
-                     {"vm", vm},
+                     {"vm", target.vm},
                      {"declared", config->slots},
                      {"in_force", target.limit}});
     }
--- a/source/entry/announcements.cc
+++ b/source/entry/announcements.cc
@@ -49,7 +49,9 @@
     const bool still =
         std::any_of(announce.services.begin(), announce.services.end(),
                     [&](const auto& it) { return it.service == service; });
-    if (!still) targets.erase(announce.vm);
+    if (still) continue;
+    std::erase_if(targets,
+                  [&](const auto& it) { return it.vm == announce.vm; });
   }
 }
 
@@ -138,12 +140,12 @@
   const MonotonicTime now = context.loop.now();
   for (auto& [service, targets] : context.targets) {
     std::erase_if(targets, [&](const auto& it) {
-      const auto vm = context.vms.find(it.first);
+      const auto vm = context.vms.find(it.vm);
       const bool lost =
           vm == context.vms.end() || IsSilent(vm->second, now, kSilence);
       if (lost) {
         Log(Event::kTargetLost,
-            {{"vm", it.first.value}, {"service", service.value}});
+            {{"vm", it.vm.value}, {"service", service.value}});
       }
       return lost;
     });
--- a/source/entry/request_router.cc
+++ b/source/entry/request_router.cc
@@ -18,6 +18,7 @@
   bool idempotent = false;
   std::string key;
   MonotonicTime started_at{};
+  MonotonicTime sent_at{};
   MonotonicTime deadline{};
   std::vector<VmId> tried;
   VmId vm;
@@ -275,6 +276,7 @@
     it->counted_in_flight = true;
   }
   it->refusal.reset();
+  it->sent_at = context_.loop.now();
   CallHooks hooks;
   hooks.on_head = [this, it](int status, const Headers& headers) {
     TakeHead(it, status, headers);
@@ -298,9 +300,7 @@
 }
 
 TargetLoad* RequestRouter::LoadOf(const RoutedPtr& it) {
-  auto& targets = context_.targets[it->service];
-  const auto target = targets.find(it->vm);
-  return target == targets.end() ? nullptr : &target->second;
+  return FindTarget(context_.targets[it->service], it->vm);
 }
 
 void RequestRouter::NoteTarget(const RoutedPtr& it, bool failed) {
@@ -342,6 +342,9 @@
   }
   out.push_back({header::kRequest, it->id.value});
   it->head_sent = true;
+  if (TargetLoad* target = LoadOf(it)) {
+    NoteAnswer(*target, context_.loop.now() - it->sent_at);
+  }
   it->exchange.Begin(status, out);
 }
 
@@ -360,6 +363,11 @@
     it->exchange.Abort();
     return Close(it, Outcome::kUnknown, "the answer was cut: " + reason);
   }
+  if (end.sent == Sent::kNo && it->claimed_by_other) {
+    // We sent nothing, but whoever made the claim may have.
+    return Refuse(it, kUnavailable, Outcome::kUnknown,
+                  "the target that took this key cannot be reached");
+  }
   if (end.sent == Sent::kNo) {
     it->refusal = "the target cannot be reached: " + reason;
     return RetryElsewhere(it, *it->refusal);
@@ -379,11 +387,8 @@
       it->tried.size() < kMaxAttempts && context_.loop.now() < it->deadline;
   const bool has_budget = may_retry && TakeRetry(context_.retries);
   if (!has_budget) {
-    // The entry that made the claim may still move it to another target.
-    const Outcome outcome =
-        it->claimed_by_other ? Outcome::kUnknown : Outcome::kNotRun;
     return Refuse(
-        it, kUnavailable, outcome,
+        it, kUnavailable, Outcome::kNotRun,
         may_retry ? reason + "; the retry budget is used up" : reason);
   }
   context_.metrics.CountRetry();
@@ -449,6 +454,10 @@
 void RequestRouter::Refuse(const RoutedPtr& it, int status, Outcome outcome,
                            const std::string& reason) {
   if (it->closed) return;
+  // The entry that made the claim may still move it to another target.
+  if (outcome == Outcome::kNotRun && it->claimed_by_other) {
+    outcome = Outcome::kUnknown;
+  }
   Headers headers = RefusalHeaders(outcome, reason, it->id);
   if (status == kUnavailable) headers.push_back({"retry-after", "1"});
   it->exchange.Answer(status, headers, RefusalBody(outcome, reason, it->id));
--- a/source/placement/vm_table.cc
+++ b/source/placement/vm_table.cc
@@ -56,9 +56,13 @@
          kPackingWeight * Fullness(vm, request.each);
 }
 
-bool IsOpen(const VmRow& vm, const Config& config, MonotonicTime now) {
+bool IsOpen(const VmRow& vm, MonotonicTime now) {
   return vm.ready && !vm.leaving && now >= vm.quarantined_until &&
-         !IsSilent(vm, now, kSilence) && !IsDraining(config, vm.vm) &&
+         !IsSilent(vm, now, kSilence);
+}
+
+bool IsAllowed(const VmRow& vm, const Config& config) {
+  return !IsDraining(config, vm.vm) &&
          vm.generation == CurrentGeneration(config, vm.vm);
 }
 
@@ -140,17 +144,18 @@
   for (const auto& [id, vm] : vms) {
     if (!Fits(request.each, vm.capacity)) continue;
     why = NoPlacement::kNoRoom;
-    if (!IsOpen(vm, config, now)) continue;
+    if (!IsOpen(vm, now)) continue;
     if (!Fits(request.each, FreeOn(vm))) continue;
     const bool avoided = std::find(request.avoid.begin(), request.avoid.end(),
                                    id) != request.avoid.end();
     if (avoided) continue;
     ++candidates;
     const double score = Score(vm, request, spread);
-    if (best == nullptr || score < best_score) {
-      best = &vm;
-      best_score = score;
-    }
+    if (best != nullptr && score >= best_score) continue;
+    // Looking into the configuration is dear, so it comes last.
+    if (!IsAllowed(vm, config)) continue;
+    best = &vm;
+    best_score = score;
   }
   if (best == nullptr) return std::nullopt;
   const auto hundredths = static_cast<int64_t>(std::lround(best_score * 100));
--- a/source/routing/target_view.cc
+++ b/source/routing/target_view.cc
@@ -23,13 +23,16 @@
   return std::max(target.in_flight, target.announced + since);
 }
 
-/// Load in percent of the target's limit.
+/// Expected wait: load in percent of the target's limit, times how long its
+/// answers take.
 int64_t Score(const TargetLoad& target, const DataCentreId& local,
               const RoutingParams& params, MonotonicTime now) {
   const int64_t limit = std::max<int64_t>(
       1, target.limit * Share(target, params, now) / kFullShare);
-  const int64_t load = (BelievedLoad(target) + 1) * kHundred / limit;
-  return target.data_centre == local ? load : load + params.remote_penalty;
+  int64_t load = (BelievedLoad(target) + 1) * kHundred / limit;
+  if (target.data_centre != local) load += params.remote_penalty;
+  const double ms = std::max(1.0, target.answer_ms);
+  return static_cast<int64_t>(static_cast<double>(load) * ms);
 }
 
 bool IsUsable(const TargetLoad& target, const std::vector<VmId>& tried,
@@ -39,25 +42,51 @@
   return std::find(tried.begin(), tried.end(), target.vm) == tried.end();
 }
 
-std::vector<const TargetLoad*> Usable(const ServiceTargets& targets,
-                                      const std::vector<VmId>& tried,
-                                      MonotonicTime now) {
-  std::vector<const TargetLoad*> usable;
-  for (const auto& [vm, target] : targets) {
-    if (IsUsable(target, tried, now)) usable.push_back(&target);
+bool HasRoom(const TargetLoad& target) {
+  return BelievedLoad(target) < target.limit;
+}
+
+using Candidates = std::vector<const TargetLoad*>;
+
+/// A few usable local targets with room, drawn at random. Draws that miss are
+/// limited, so that the cost does not grow with the number of targets.
+Candidates DrawLocal(const ServiceTargets& targets, const DataCentreId& local,
+                     const std::vector<VmId>& tried,
+                     const RoutingParams& params, MonotonicTime now,
+                     Random& random) {
+  constexpr int kDrawsPerChoice = 6;
+  Candidates drawn;
+  if (targets.empty()) return drawn;
+  std::uniform_int_distribution<size_t> draw(0, targets.size() - 1);
+  const auto wanted = static_cast<size_t>(params.choices);
+  for (int i = 0; i < params.choices * kDrawsPerChoice; ++i) {
+    const TargetLoad& target = targets[draw(random)];
+    const bool near = target.data_centre == local && HasRoom(target);
+    if (near && IsUsable(target, tried, now)) drawn.push_back(&target);
+    if (drawn.size() == wanted) break;
   }
-  return usable;
+  return drawn;
 }
 
-/// Local targets if one of them has room, else all.
-std::vector<const TargetLoad*> PreferLocal(
-    std::vector<const TargetLoad*> usable, const DataCentreId& local) {
-  std::vector<const TargetLoad*> near;
-  for (const TargetLoad* target : usable) {
-    const bool has_room = BelievedLoad(*target) < target->limit;
-    if (target->data_centre == local && has_room) near.push_back(target);
+/// All usable targets: local ones with room if there are any.
+Candidates ScanAll(const ServiceTargets& targets, const DataCentreId& local,
+                   const std::vector<VmId>& tried, MonotonicTime now) {
+  Candidates near;
+  Candidates all;
+  for (const TargetLoad& target : targets) {
+    if (!IsUsable(target, tried, now)) continue;
+    all.push_back(&target);
+    if (target.data_centre == local && HasRoom(target)) near.push_back(&target);
   }
-  return near.empty() ? usable : near;
+  return near.empty() ? all : near;
+}
+
+Candidates DrawFrom(const Candidates& all, const RoutingParams& params,
+                    Random& random) {
+  Candidates drawn;
+  std::uniform_int_distribution<size_t> draw(0, all.size() - 1);
+  for (int i = 0; i < params.choices; ++i) drawn.push_back(all[draw(random)]);
+  return drawn;
 }
 
 }  // namespace
@@ -73,45 +102,56 @@
   return true;
 }
 
+TargetLoad* FindTarget(ServiceTargets& targets, const VmId& vm) {
+  const auto it = std::lower_bound(
+      targets.begin(), targets.end(), vm,
+      [](const TargetLoad& target, const VmId& id) { return target.vm < id; });
+  return it == targets.end() || it->vm != vm ? nullptr : &*it;
+}
+
 std::optional<RouteChoice> ChooseTarget(const ServiceTargets& targets,
                                         const DataCentreId& local,
                                         const std::vector<VmId>& tried,
                                         const RoutingParams& params,
                                         MonotonicTime now, Random& random,
                                         std::string& why) {
-  std::vector<const TargetLoad*> usable = Usable(targets, tried, now);
-  if (usable.empty()) {
-    why = targets.empty() ? "no target runs this service"
-          : tried.empty() ? "no target is usable"
-                          : "every usable target has refused";
-    return std::nullopt;
+  Candidates drawn = DrawLocal(targets, local, tried, params, now, random);
+  if (drawn.size() < static_cast<size_t>(params.choices)) {
+    const Candidates all = ScanAll(targets, local, tried, now);
+    if (all.empty()) {
+      why = targets.empty() ? "no target runs this service"
+            : tried.empty() ? "no target is usable"
+                            : "every usable target has refused";
+      return std::nullopt;
+    }
+    drawn = DrawFrom(all, params, random);
   }
-  usable = PreferLocal(std::move(usable), local);
   const TargetLoad* best = nullptr;
   int64_t best_score = 0;
-  for (int i = 0; i < params.choices; ++i) {
-    std::uniform_int_distribution<size_t> draw(0, usable.size() - 1);
-    const TargetLoad* target = usable[draw(random)];
+  for (const TargetLoad* target : drawn) {
     const int64_t score = Score(*target, local, params, now);
-    if (best == nullptr || score < best_score) {
-      best = target;
-      best_score = score;
-    }
+    if (best != nullptr && score >= best_score) continue;
+    best = target;
+    best_score = score;
   }
-  return RouteChoice{best->vm,
-                     "load " + std::to_string(best_score) + "% least of " +
-                         std::to_string(params.choices) + " drawn from " +
-                         std::to_string(usable.size())};
+  return RouteChoice{best->vm, "score " + std::to_string(best_score) +
+                                   " least of " + std::to_string(drawn.size()) +
+                                   " drawn from " +
+                                   std::to_string(targets.size())};
 }
 
 void TakeLoad(ServiceTargets& targets, const Announce& announce,
               const ServiceLoad& load, MonotonicTime now) {
-  auto [it, is_new] = targets.try_emplace(announce.vm);
-  TargetLoad& target = it->second;
-  if (is_new) {
-    target.vm = announce.vm;
-    target.joined_at = now;
+  TargetLoad* known = FindTarget(targets, announce.vm);
+  if (known == nullptr) {
+    const auto at = std::lower_bound(
+        targets.begin(), targets.end(), announce.vm,
+        [](const TargetLoad& it, const VmId& id) { return it.vm < id; });
+    known = &*targets.emplace(at);
+    known->vm = announce.vm;
+    known->joined_at = now;
   }
+  TargetLoad& target = *known;
   target.data_centre = announce.data_centre;
   target.limit = load.limit;
   target.announced = load.in_use + load.queued;
@@ -119,6 +159,15 @@
   target.leaving = announce.leaving;
 }
 
+void NoteAnswer(TargetLoad& target, Duration took) {
+  constexpr double kAnswerWeight = 0.1;
+  const double ms = std::max(1.0, static_cast<double>(took.count()));
+  target.answer_ms =
+      target.answer_ms == 0
+          ? ms
+          : target.answer_ms + (ms - target.answer_ms) * kAnswerWeight;
+}
+
 bool NoteOutcome(TargetLoad& target, bool failed, const RoutingParams& params,
                  MonotonicTime now) {
   if (!failed) {
--- a/source/routing/target_view.h
+++ b/source/routing/target_view.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -15,7 +14,7 @@
 /// How requests are spread.
 struct RoutingParams {
   /// Targets compared for one request.
-  int choices = 2;
+  int choices = 4;
   /// Load of a target in another data centre counts as higher by this much
   /// of its slots, in percent; it is chosen only if the local ones are fuller.
   int64_t remote_penalty = 50;
@@ -40,14 +39,19 @@
   int64_t in_flight = 0;
   /// `in_flight` when the announcement arrived.
   int64_t in_flight_then = 0;
+  /// Smoothed time of its answers in ms; 0 before the first.
+  double answer_ms = 0;
   MonotonicTime joined_at{};
   MonotonicTime ejected_until{};
   int failures = 0;
   bool leaving = false;
 };
 
-/// Targets of one service, by VM.
-using ServiceTargets = std::map<VmId, TargetLoad>;
+/// Targets of one service, ordered by VM.
+using ServiceTargets = std::vector<TargetLoad>;
+
+/// @return the target of that VM, or null.
+TargetLoad* FindTarget(ServiceTargets& targets, const VmId& vm);
 
 /// Retries that may still be made; refilled by requests.
 struct RetryBudget {
@@ -79,6 +83,9 @@
 void TakeLoad(ServiceTargets& targets, const Announce& announce,
               const ServiceLoad& load, MonotonicTime now);
 
+/// Takes over how long an answer of a target took.
+void NoteAnswer(TargetLoad& target, Duration took);
+
 /// Counts how a request at a target ended.
 /// @return true if the target has just been ejected.
 bool NoteOutcome(TargetLoad& target, bool failed, const RoutingParams& params,
--- a/source/target/request_table.cc
+++ b/source/target/request_table.cc
@@ -1,7 +1,6 @@
 #include "target/request_table.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -11,20 +10,35 @@
 /// Records are kept this much longer than messages about them are believed.
 constexpr Duration kMemoryMargin{5'000};
 constexpr size_t kMaxRecords = 200'000;
-/// Answers this many times slower than usual mean that the VM is pressed.
-constexpr double kSlowFactor = 2.0;
-/// Smaller differences are noise.
-constexpr double kNoiseMs = 5.0;
-constexpr double kCut = 0.8;
-constexpr double kRaise = 1.0;
-constexpr double kForget = 0.01;
-/// Answers in a window.
-constexpr size_t kWindow = 16;
-
-double MedianOf(std::vector<double> values) {
-  const auto middle = values.begin() + static_cast<int64_t>(values.size() / 2);
-  std::nth_element(values.begin(), middle, values.end());
-  return *middle;
+constexpr int64_t kAnswersPerStep = 16;
+/// Weight of one answer in the mean of its level.
+constexpr double kWeight = 0.02;
+/// A lower level must promise this much more before it is taken.
+constexpr double kWorthwhile = 1.2;
+
+/// Levels are single requests at first and grow wider, so that large limits
+/// do not need many answers at each.
+size_t LevelOf(int64_t in_use) {
+  constexpr int64_t kSingleLevels = 24;
+  constexpr int64_t kWide = 8;
+  if (in_use < kSingleLevels) {
+    return static_cast<size_t>(std::max<int64_t>(0, in_use));
+  }
+  return static_cast<size_t>(kSingleLevels + (in_use - kSingleLevels) / kWide);
+}
+
+/// Power at `in_use` requests at once. Where nothing was seen yet the time is
+/// taken to be that of the nearest lower level, or else of the nearest higher.
+double PowerAt(const AdaptiveLimit& limit, int64_t in_use) {
+  if (in_use < 1) return 0;
+  const auto& means = limit.mean_ms;
+  const size_t level = std::min(LevelOf(in_use), means.size() - 1);
+  size_t seen = level;
+  while (seen > 0 && means[seen] == 0) --seen;
+  if (means[seen] == 0) seen = level;
+  while (seen + 1 < means.size() && means[seen] == 0) ++seen;
+  const double ms = std::max(1.0, means[seen]);
+  return static_cast<double>(in_use) / (ms * ms);
 }
 
 Duration MemoryOf(bool keyed) { return keyed ? kKeyedAge : kUnkeyedAge; }
@@ -53,30 +67,29 @@
 
 void Observe(AdaptiveLimit& limit, Duration took, int64_t in_use,
              int64_t declared) {
-  limit.window_ms.push_back(static_cast<double>(took.count()));
-  const bool is_full = static_cast<double>(in_use) + 1.0 >= limit.limit;
-  limit.was_full = limit.was_full || is_full;
-  if (limit.window_ms.size() < kWindow) return;
-  const double median = MedianOf(std::exchange(limit.window_ms, {}));
-  const bool was_full = std::exchange(limit.was_full, false);
-  const double bound = static_cast<double>(std::max<int64_t>(1, declared));
-  limit.limit = std::clamp(limit.limit, 1.0, bound);
-  if (limit.usual_ms == 0 || median < limit.usual_ms) {
-    limit.usual_ms = median;
-  } else {
-    limit.usual_ms += (median - limit.usual_ms) * kForget;
-  }
-  const bool is_slow = median > limit.usual_ms * kSlowFactor + kNoiseMs;
-  if (is_slow) {
-    limit.limit = std::max(1.0, limit.limit * kCut);
-  } else if (was_full) {
-    limit.limit = std::min(bound, limit.limit + kRaise);
+  const size_t level = LevelOf(in_use);
+  if (limit.mean_ms.size() <= level) limit.mean_ms.resize(level + 1);
+  const double ms = std::max(1.0, static_cast<double>(took.count()));
+  double& mean = limit.mean_ms[level];
+  mean = mean == 0 ? ms : mean + (ms - mean) * kWeight;
+  limit.most = std::max(limit.most, in_use);
+  if (++limit.answers < kAnswersPerStep) return;
+  limit.answers = 0;
+  const bool was_full = std::exchange(limit.most, 0) >= limit.limit;
+  const int64_t now = CurrentLimit(limit, declared);
+  const int64_t step = std::max<int64_t>(1, now / 16);
+  const double here = PowerAt(limit, now);
+  // Compared with a level well below, a false alarm by chance is unlikely.
+  const int64_t below = now - std::max<int64_t>(1, now / 4);
+  if (PowerAt(limit, below) > here * kWorthwhile) {
+    limit.limit = std::max<int64_t>(1, now - step);
+  } else if (was_full && PowerAt(limit, now + step) > here) {
+    limit.limit = std::min(declared, now + step);
   }
 }
 
 int64_t CurrentLimit(const AdaptiveLimit& limit, int64_t declared) {
-  const auto whole = static_cast<int64_t>(std::floor(limit.limit));
-  return std::clamp<int64_t>(whole, 1, std::max<int64_t>(1, declared));
+  return std::clamp<int64_t>(limit.limit, 1, std::max<int64_t>(1, declared));
 }
 
 AdmitResult AdmitRequest(RequestTable& table, MonotonicTime now,
--- a/source/target/request_table.h
+++ b/source/target/request_table.h
@@ -23,18 +23,21 @@
 /// Answers longer than this, in bytes, are not kept.
 constexpr size_t kMaxKeptAnswer = 64 << 10;
 
-/// Adjusts how many requests one executor gets at once: raised while answers
-/// take their usual time, lowered when they take much longer. Never above what
-/// was declared. Times are judged by the median of a window, so that a mix of
-/// short and long requests is not taken for pressure.
+/// Adjusts how many requests one executor gets at once, never above what was
+/// declared. It keeps the mean answer time at each level of concurrency n and
+/// moves towards the level with the greatest power n / time^2 (throughput over
+/// time; Kleinrock, "Power and deterministic rules of thumb for probabilistic
+/// problems in computer communications", 1979). A slowdown that comes from
+/// elsewhere raises all levels alike and so leaves the best one where it was.
 struct AdaptiveLimit {
-  /// Starts low: what is usual can only be learnt while nothing is pressed.
-  double limit = 4;
-  /// Usual median of a window in ms: the least seen, forgotten slowly.
-  double usual_ms = 0;
-  std::vector<double> window_ms;
-  /// Whether all of the limit was in use at some time in this window.
-  bool was_full = false;
+  /// Starts low: what an executor bears is found from below.
+  int64_t limit = 4;
+  /// Mean answer time in ms at each level; 0 where nothing was seen.
+  std::vector<double> mean_ms;
+  /// Answers since the last step.
+  int64_t answers = 0;
+  /// Most requests at once since the last step.
+  int64_t most = 0;
 };
 
 /// Takes over how long one request took.
--- a/tests/routing/target_view_test.cc
+++ b/tests/routing/target_view_test.cc
@@ -21,7 +21,7 @@
 
 ServiceTargets Targets(const std::vector<TargetLoad>& all) {
   ServiceTargets targets;
-  for (const TargetLoad& it : all) targets[it.vm] = it;
+  for (const TargetLoad& it : all) targets.push_back(it);
   return targets;
 }
 
@@ -91,7 +91,7 @@
   announce.vm = VmId("a");
   announce.data_centre = kHere;
   TakeLoad(targets, announce, {ServiceId("s"), 8, 3, 1}, kNow);
-  TargetLoad& target = targets.at(VmId("a"));
+  TargetLoad& target = *FindTarget(targets, VmId("a"));
   CHECK(target.announced == 4);
   CHECK(target.limit == 8);
   CHECK(target.joined_at == kNow);
--- a/tests/target/request_table_test.cc
+++ b/tests/target/request_table_test.cc
@@ -13,7 +13,7 @@
   ServiceQueue& it = table.services[kService];
   it.declared_slots = slots;
   it.declared_queue = queue;
-  it.adaptive.limit = static_cast<double>(slots);
+  it.adaptive.limit = slots;
   return table;
 }
 
@@ -123,6 +123,16 @@
   CHECK(CurrentLimit(limit, kDeclared) >= kBears / 2);
 }
 
+TEST_CASE("a slowdown from elsewhere does not bring the limit down") {
+  AdaptiveLimit limit;
+  for (int i = 0; i < 8'000; ++i) {
+    const int64_t in_use = 1 + i % CurrentLimit(limit, 8);
+    const bool noisy = i > 2'000 && i / 500 % 2 == 0;
+    Observe(limit, Duration(noisy ? 80 : 20), in_use, 8);
+    if (i > 2'000) CHECK(CurrentLimit(limit, 8) >= 4);
+  }
+}
+
 TEST_CASE("a mix of short and long requests is not taken for pressure") {
   AdaptiveLimit limit;
   for (int i = 0; i < 2'000; ++i) {
