--- a/source/cli/admin_client.cc
+++ b/source/cli/admin_client.cc
@@ -18,7 +18,7 @@
   HttpRequest request{
       method, "/admin/v1/" + path, {}, body.is_null() ? "" : body.dump()};
   client.Start(
-      entry, std::move(request), false, kTimeout,
+      entry, request, false, kTimeout,
       CollectWhole(kMaxAnswerBytes, [&](const auto& answer, CallEnd end) {
         loop.Stop();
         if (!answer) {
--- a/source/platform/http_table.cc
+++ b/source/platform/http_table.cc
@@ -67,7 +67,7 @@
   void Post(const std::string& path, const json& body, WholeAnswerFn fn) {
     HttpRequest request{
         "POST", path, {{"content-type", "application/json"}}, body.dump()};
-    client.Start(platform, std::move(request), true, timeout,
+    client.Start(platform, request, true, timeout,
                  CollectWhole(kMaxAnswerBytes, std::move(fn)));
   }
 
--- a/source/platform/http_worker.cc
+++ b/source/platform/http_worker.cc
@@ -43,7 +43,7 @@
       }
       fn(std::move(in), {});
     };
-    client.Start(address, std::move(request), true, timeout,
+    client.Start(address, request, true, timeout,
                  CollectWhole(kMaxAnswerBytes, std::move(on_answer)));
   }
 
--- a/source/state/config.cc
+++ b/source/state/config.cc
@@ -31,12 +31,12 @@
 bool HasOnlyKnownFields(const json& in, const json& known, ConfigReason& why) {
   for (const auto& [key, value] : in.items()) {
     if (!known.contains(key)) {
-      std::string all;
+      std::string text = "unknown field \"";
+      text.append(key).append("\"; known are:");
       for (const auto& [name, unused] : known.items()) {
-        all.append(" ").append(name);
+        text.append(" ").append(name);
       }
-      why.Set(ConfigError::kUnknownField,
-              "unknown field \"" + key + "\"; known are:" + all);
+      why.Set(ConfigError::kUnknownField, text);
       return false;
     }
     if (known[key].is_object() && value.is_object() &&
--- a/source/target/request_server.cc
+++ b/source/target/request_server.cc
@@ -158,8 +158,8 @@
   const Address executor{context_.settings.worker.host, port};
   const Duration left =
       std::max(Duration(1), relay->deadline - context_.loop.now());
-  relay->call = context_.http.Start(executor, std::move(to), relay->idempotent,
-                                    left, std::move(hooks));
+  relay->call = context_.http.Start(executor, to, relay->idempotent, left,
+                                    std::move(hooks));
 }
 
 void RequestServer::Finish(const std::shared_ptr<Relay>& relay, CallEnd end) {
--- a/tests/fakes/worker_fake.cc
+++ b/tests/fakes/worker_fake.cc
@@ -78,7 +78,7 @@
   const auto progress = static_cast<int64_t>(task.progress_ms);
   HttpRequest request{
       "PUT", "/v1/objects/" + name, {}, std::to_string(progress)};
-  worker.http.Start(worker.platform, std::move(request), true, kPlatformTimeout,
+  worker.http.Start(worker.platform, request, true, kPlatformTimeout,
                     CollectWhole(1024, [&worker, run, name, saved](
                                            const auto& answer, CallEnd) {
                       const auto it = worker.tasks.find(run);
@@ -93,7 +93,7 @@
   task.loading = true;
   HttpRequest request{"GET", "/v1/objects/" + task.checkpoint, {}, ""};
   worker.http.Start(
-      worker.platform, std::move(request), true, kPlatformTimeout,
+      worker.platform, request, true, kPlatformTimeout,
       CollectWhole(1024, [&worker, run](const auto& answer, CallEnd) {
         const auto it = worker.tasks.find(run);
         if (it == worker.tasks.end()) return;
