--- a/source/placement/job_board.cc
+++ b/source/placement/job_board.cc
@@ -387,12 +387,11 @@
       notes[i] = entity.notes[i];
     }
   }
-  entity.ours = entity.ours && version == entity.version;
   entity.version = version;
   entity.committed = chunk;
   entity.wanted = chunk;
   entity.notes = std::move(notes);
-  entity.dirty = !entity.ours;
+  entity.dirty = false;
   entity.stale = false;
   entity.validated_at = sent;
   TakeJobRow(board, job->second.row, job->second.version);
@@ -621,10 +620,8 @@
     auto sent = DecodeChunk(batch.transaction.puts[i].value, why);
     if (!done || !sent) {
       chunk.stale = true;
-      chunk.ours = false;
       continue;
     }
-    chunk.ours = true;
     chunk.version = done->version;
     chunk.committed = std::move(*sent);
     chunk.validated_at = batch.sent;
@@ -637,7 +634,6 @@
   ForEachAssigned(board, [&](JobEntity& job, ChunkEntity& chunk, size_t at) {
     const TaskRecord& task = chunk.committed.tasks[at];
     TaskNote& note = chunk.notes[at];
-    if (!chunk.ours) return;
     if (view.now < note.next_send || job.row.cancelled) return;
     const auto vm = view.vms.find(task.vm);
     if (vm == view.vms.end()) return;
--- a/source/placement/job_board.h
+++ b/source/placement/job_board.h
@@ -39,9 +39,6 @@
   bool in_flight = false;
   /// The row must be read again before anything is done with it.
   bool stale = false;
-  /// The row's version is of a commit of ours. Before that, a commit that was
-  /// given up, ours or a dead entry's, may still land; our own rules it out.
-  bool ours = false;
   /// When the newest read or commit that confirmed `committed` was sent.
   MonotonicTime validated_at{};
   std::vector<TaskNote> notes;
--- a/tests/placement/job_board_test.cc
+++ b/tests/placement/job_board_test.cc
@@ -84,10 +84,6 @@
   JobReason why;
   const auto chunk = DecodeChunk(batch->transaction.puts[0].value, why);
   TakeChunkRow(it.board, *chunk, RowVersion(99), it.now);
-  // Only a commit of our own rules out that an older one still lands.
-  CHECK(it.Starts().empty());
-  it.version = 99;
-  it.Commit();
   CHECK(it.Starts().size() == 1);
 }
 
