--- a/source/base/clock.cc
+++ b/source/base/clock.cc
@@ -1,13 +1,18 @@
 #include "base/clock.h"
 
 #include <cassert>
+#include <ctime>
 
 namespace almondtally {
 
 MonotonicTime Now(const Clock& clock) {
   if (clock.paused) return clock.paused_at;
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return MonotonicTime(std::chrono::duration_cast<Duration>(now));
+  // CLOCK_BOOTTIME counts suspension of the VM, which leases must not miss.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  const auto span =
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return MonotonicTime(std::chrono::duration_cast<Duration>(span));
 }
 
 void Pause(Clock& clock) {
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -45,6 +45,8 @@
       return "platform";
     case LogType::kWire:
       return "wire";
+    case LogType::kPlanning:
+      return "planning";
   }
   return "unknown";
 }
@@ -159,10 +161,74 @@
        "a peer sent a message that cannot be decoded"},
       {Event::kBadInput, "input.rejected", kWire, kWarning,
        "a caller or an operator sent something invalid"},
+      {Event::kShardClaimed, "shard.claimed", kPlanning, kInfo,
+       "this process wrote itself into the head row of the shard"},
+      {Event::kShardClaimFailed, "shard.claim_failed", kPlanning, kInfo,
+       "another process was faster, or the store did not answer"},
+      {Event::kShardReleaseFailed, "shard.release_failed", kPlanning, kWarning,
+       "the shard was not handed over at a planned stop"},
+      {Event::kPlanningStarted, "planning.started", kPlanning, kInfo,
+       "all rows were read; this process plans the shard"},
+      {Event::kPlanningStopped, "planning.stopped", kPlanning, kWarning,
+       "this process no longer plans the shard, with the reason"},
+      {Event::kEpochPassed, "planning.epoch_passed", kPlanning, kWarning,
+       "an agent has heard of a newer planner"},
+      {Event::kStoreLost, "store.lost", kPlanning, kWarning,
+       "a commit failed or went unanswered; no jobs are accepted"},
+      {Event::kStoreRegained, "store.regained", kPlanning, kInfo,
+       "a commit succeeded again"},
+      {Event::kRowUnreadable, "store.row_unreadable", kPlanning, kError,
+       "a row of the store cannot be read and is passed over"},
+      {Event::kJobCancelled, "job.cancelled", kPlanning, kInfo,
+       "a caller cancelled a job"},
+      {Event::kJobEnded, "job.ended", kPlanning, kInfo,
+       "a job's end is recorded and shown from now on"},
+      {Event::kJobRefused, "job.refused", kPlanning, kWarning,
+       "a caller's request was refused, with whether it may have run"},
+      {Event::kRunPlaced, "run.placed", kPlanning, kInfo,
+       "a task was given to a VM; age is the time it waited"},
+      {Event::kRunEnded, "run.ended", kPlanning, kInfo,
+       "an agent reported the end of a run"},
+      {Event::kRunAdopted, "run.adopted", kPlanning, kInfo,
+       "a run of an earlier planner goes on under this one"},
+      {Event::kRunTakenBack, "run.taken_back", kPlanning, kInfo,
+       "a run is stopped to go on elsewhere, with the reason"},
+      {Event::kFillersPaced, "fillers.paced", kPlanning, kInfo,
+       "the speed limit of a VM's fillers changed"},
+      {Event::kVmListed, "vm.listed", kPlanning, kInfo,
+       "an agent's row was read"},
+      {Event::kVmSynced, "vm.synced", kPlanning, kInfo,
+       "an agent reported all that runs on its VM"},
+      {Event::kVmLost, "vm.lost", kPlanning, kWarning,
+       "a VM was silent until its leases ran out; age since it was heard"},
+      {Event::kVmForgotten, "vm.forgotten", kPlanning, kInfo,
+       "a VM that stays silent was removed from the list"},
+      {Event::kVmSetAside, "vm.set_aside", kPlanning, kWarning,
+       "a VM gets no new tasks for a while, with the reason"},
+      {Event::kOrdersUnanswered, "vm.orders_unanswered", kPlanning, kWarning,
+       "a batch of orders went unanswered and is sent again"},
+      {Event::kWorkerHeard, "worker.heard", kMembership, kInfo,
+       "the VM's worker said that it is there, in this life"},
+      {Event::kWorkerDraining, "worker.draining", kMembership, kInfo,
+       "the VM's worker said that it will leave"},
+      {Event::kWorkerLeft, "worker.left", kMembership, kInfo,
+       "the VM's worker signed off"},
+      {Event::kWorkerSilent, "worker.silent", kMembership, kWarning,
+       "the VM's worker did not answer, or answers again"},
+      {Event::kWorkerCallFailed, "worker.call_failed", kMembership, kWarning,
+       "an order was rejected by the worker or went unanswered"},
+      {Event::kPlannerHeard, "planner.heard", kMembership, kInfo,
+       "the first order of a planner under a new epoch"},
+      {Event::kAgentListed, "agent.listed", kMembership, kInfo,
+       "this agent wrote its row"},
+      {Event::kSettingsReloaded, "settings.reloaded", kProcess, kInfo,
+       "the settings were read again, with what changed"},
   };
   return all;
 }
 
+std::string_view EventName(Event event) { return Find(event).name; }
+
 std::string FormatLogLine(Event event, std::initializer_list<LogField> fields) {
   const EventInfo& info = Find(event);
   std::string out = "event=" + std::to_string(static_cast<int>(event));
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -18,6 +18,7 @@
   kMembership,
   kPlatform,
   kWire,
+  kPlanning,
 };
 
 enum class LogLevel : uint8_t { kInfo, kWarning, kError, kOff };
@@ -66,6 +67,37 @@
   kPlatformRestored = 7002,
   kPeerGarbage = 8001,
   kBadInput = 8002,
+  kShardClaimed = 9001,
+  kShardClaimFailed = 9002,
+  kShardReleaseFailed = 9003,
+  kPlanningStarted = 9004,
+  kPlanningStopped = 9005,
+  kEpochPassed = 9006,
+  kStoreLost = 9007,
+  kStoreRegained = 9008,
+  kRowUnreadable = 9009,
+  kJobCancelled = 9101,
+  kJobEnded = 9102,
+  kJobRefused = 9103,
+  kRunPlaced = 9104,
+  kRunEnded = 9105,
+  kRunAdopted = 9106,
+  kRunTakenBack = 9107,
+  kFillersPaced = 9108,
+  kVmListed = 9201,
+  kVmSynced = 9202,
+  kVmLost = 9203,
+  kVmForgotten = 9204,
+  kVmSetAside = 9205,
+  kOrdersUnanswered = 9206,
+  kWorkerHeard = 9301,
+  kWorkerDraining = 9302,
+  kWorkerLeft = 9303,
+  kWorkerSilent = 9304,
+  kWorkerCallFailed = 9305,
+  kPlannerHeard = 9306,
+  kAgentListed = 9307,
+  kSettingsReloaded = 9401,
 };
 
 /// One row of the event catalogue.
@@ -80,6 +112,9 @@
 /// @return the whole catalogue, ordered by number.
 const std::vector<EventInfo>& EventCatalogue();
 
+/// @return the event's name in the catalogue, such as "run.placed".
+std::string_view EventName(Event event);
+
 /// One field of a log line.
 struct LogField {
   std::string_view key;
--- a/source/entry/almondtally_main.cc
+++ b/source/entry/almondtally_main.cc
@@ -4,6 +4,7 @@
 
 #include "cli/commands.h"
 #include "entry/serve.h"
+#include "platform/mains.h"
 
 namespace {
 
@@ -23,6 +24,7 @@
   if (words[0] == "--help" || words[0] == "-h") return PrintHelp(stdout);
   const std::vector<std::string> args(words.begin() + 1, words.end());
   if (words[0] == "serve") return almondtally::Serve(args);
+  if (words[0] == "schedule") return almondtally::platform::RunEntry(args);
   const int code = almondtally::RunCommand(words[0], args);
   if (code >= 0) return code;
   std::fprintf(stderr, "almondtally: no command \"%s\"\n\n", words[0].c_str());
--- a/source/platform/http_table.cc
+++ b/source/external/http_table.cc
@@ -1,4 +1,4 @@
-#include "platform/http_table.h"
+#include "external/http_table.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/source/platform/http_table.h
+++ b/source/external/http_table.h
@@ -2,7 +2,7 @@
 
 #include <memory>
 
-#include "platform/table.h"
+#include "external/table.h"
 #include "wire/http_client.h"
 
 namespace almondtally {
--- a/source/platform/http_worker.cc
+++ b/source/external/http_worker.cc
@@ -1,4 +1,4 @@
-#include "platform/http_worker.h"
+#include "external/http_worker.h"
 
 #include <memory>
 #include <nlohmann/json.hpp>
--- a/source/platform/http_worker.h
+++ b/source/external/http_worker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/worker.h"
+#include "external/worker.h"
 #include "wire/http_client.h"
 
 namespace almondtally {
--- a/source/platform/worker.h
+++ b/source/external/worker.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/resources.h"
-#include "platform/table.h"
+#include "external/table.h"
 
 namespace almondtally {
 
--- a/source/peer/messages.h
+++ b/source/peer/messages.h
@@ -7,7 +7,7 @@
 
 #include "base/ids.h"
 #include "base/resources.h"
-#include "platform/worker.h"
+#include "external/worker.h"
 #include "state/config.h"
 #include "wire/http_types.h"
 
--- a/source/placement/job_board.h
+++ b/source/placement/job_board.h
@@ -10,7 +10,7 @@
 #include "base/clock.h"
 #include "peer/messages.h"
 #include "placement/vm_table.h"
-#include "platform/table.h"
+#include "external/table.h"
 #include "state/config.h"
 #include "state/jobs.h"
 #include "state/lease.h"
--- /dev/null
+++ b/source/sched/board.cc
@@ -0,0 +1,204 @@
+#include "sched/board.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sched/detail.h"
+
+namespace almondtally::sched {
+namespace {
+
+MonotonicTime FromUnix(const Board& board, int64_t unix_ms) {
+  return MonotonicTime(Duration(unix_ms - board.unix_offset_ms));
+}
+
+OccurrenceEntity MakeOccurrence(const JobSpec& spec, MonotonicTime due_at) {
+  OccurrenceEntity out;
+  out.due_at = due_at;
+  for (const StepSpec& step : spec.steps) {
+    StepEntity entity;
+    entity.tasks.resize(step.count);
+    for (TaskEntity& task : entity.tasks) task.since = due_at;
+    out.steps.push_back(std::move(entity));
+  }
+  return out;
+}
+
+Duration ObjectiveOf(const JobSpec& spec, const QueueTerms& terms) {
+  std::vector<int64_t> finish(spec.steps.size(), 0);
+  int64_t longest = 0;
+  for (size_t i = 0; i < spec.steps.size(); ++i) {
+    for (const uint32_t before : spec.steps[i].after) {
+      finish[i] = std::max(finish[i], finish[before]);
+    }
+    finish[i] += spec.steps[i].estimate_ms;
+    longest = std::max(longest, finish[i]);
+  }
+  const double stretched = terms.stretch * static_cast<double>(longest);
+  return Duration(static_cast<int64_t>(stretched) + terms.latency_target_ms);
+}
+
+}  // namespace
+
+void UpdateReady(const JobSpec& spec, OccurrenceEntity& occurrence,
+                 MonotonicTime now) {
+  for (size_t i = 0; i < spec.steps.size(); ++i) {
+    StepEntity& step = occurrence.steps[i];
+    if (step.ready) continue;
+    const auto& after = spec.steps[i].after;
+    step.ready = std::all_of(after.begin(), after.end(), [&](uint32_t before) {
+      return occurrence.steps[before].done == spec.steps[before].count;
+    });
+    if (!step.ready) continue;
+    for (TaskEntity& task : step.tasks) task.since = now;
+  }
+}
+
+JobEntity& AddJob(Board& board, MonotonicTime now, const JobRecord& record) {
+  JobEntity& job = board.jobs[record.spec.id];
+  job.record = record;
+  const auto it = board.queues.find(record.spec.queue);
+  job.terms = it != board.queues.end() ? it->second : record.terms;
+  job.objective = ObjectiveOf(record.spec, job.terms);
+  // The age of a job that was read from the store is known from clocks that
+  // may differ or jump; it must not lie in the future.
+  job.accepted_at =
+      std::min(now, FromUnix(board, record.accepted_at_ms));
+  if (record.spec.occurrences == 0) {
+    job.next_occurrence = 1;
+    auto& occurrence = job.occurrences[0] =
+        MakeOccurrence(record.spec, job.accepted_at);
+    UpdateReady(record.spec, occurrence, now);
+  }
+  return job;
+}
+
+void ApplyProgress(Board& board, MonotonicTime now, JobEntity& job,
+                   const JobProgress& progress) {
+  const JobSpec& spec = job.record.spec;
+  for (const StepProgress& row : progress.steps) {
+    if (row.step >= spec.steps.size() || row.occurrence >= spec.times()) {
+      continue;
+    }
+    if (!job.occurrences.contains(row.occurrence)) {
+      job.occurrences[row.occurrence] = MakeOccurrence(spec, now);
+    }
+    auto& step = job.occurrences[row.occurrence].steps[row.step];
+    const size_t n = std::min(step.tasks.size(), row.done.size());
+    for (size_t i = 0; i < n; ++i) {
+      if (row.done[i] != '1') continue;
+      step.tasks[i].phase = TaskPhase::kDone;
+      ++step.done;
+      job.started = true;
+    }
+    for (const TaskFailures& failed : row.failures) {
+      if (failed.index >= step.tasks.size()) continue;
+      step.tasks[failed.index].failures = failed.count;
+      job.started = true;
+    }
+  }
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (size_t i = 0; i < spec.steps.size(); ++i) {
+      if (occurrence.steps[i].done == spec.steps[i].count) {
+        ++occurrence.steps_done;
+      }
+    }
+    UpdateReady(spec, occurrence, now);
+    if (occurrence.steps_done == spec.steps.size()) ++job.occurrences_done;
+  }
+  job.state = progress.state;
+  job.recorded = progress.state;
+  job.ended_at_ms = progress.ended_at_ms;
+  if (!IsFinal(job.state)) return;
+  job.ended_at = std::min(now, FromUnix(board, progress.ended_at_ms));
+  board.ended.push_back(spec.id);
+}
+
+void ForgetJob(Board& board, const JobId& job) {
+  board.jobs.erase(job);
+  board.dirty.erase(job);
+}
+
+void EndJob(Board& board, MonotonicTime now, JobEntity& job, JobState state) {
+  if (IsFinal(job.state)) return;
+  job.state = state;
+  job.ended_at = now;
+  job.ended_at_ms = board.unix_offset_ms + now.time_since_epoch().count();
+  const JobId& id = job.record.spec.id;
+  board.dirty.insert(id);
+  ++board.change;
+  board.ended.push_back(id);
+  for (auto& [vm_id, vm] : board.vms) {
+    for (auto it = vm.runs.lower_bound(TaskKey{id, 0, 0, 0});
+         it != vm.runs.end() && it->first.job == id; ++it) {
+      it->second.stop_wanted = true;
+    }
+  }
+}
+
+void CancelJob(Board& board, MonotonicTime now, JobEntity& job) {
+  EndJob(board, now, job, JobState::kCancelled);
+}
+
+int64_t CountPending(const Board& board, const QueueId& queue) {
+  int64_t n = 0;
+  for (const auto& [id, job] : board.jobs) {
+    const bool counts = job.accepted && job.record.spec.queue == queue &&
+                        !job.started && !IsFinal(job.state);
+    if (counts) ++n;
+  }
+  return n;
+}
+
+std::optional<MonotonicTime> StartDueOccurrences(Board& board,
+                                                 MonotonicTime now) {
+  std::optional<MonotonicTime> next;
+  for (auto& [id, job] : board.jobs) {
+    const JobSpec& spec = job.record.spec;
+    if (spec.occurrences == 0 || IsFinal(job.state) || !job.accepted) continue;
+    while (job.next_occurrence < spec.occurrences) {
+      const int64_t due_unix =
+          spec.first_due_ms + spec.period_ms * job.next_occurrence;
+      const MonotonicTime due = FromUnix(board, due_unix);
+      if (due > now) {
+        if (!next || due < *next) next = due;
+        break;
+      }
+      const auto [it, is_new] =
+          job.occurrences.try_emplace(job.next_occurrence++);
+      if (!is_new) continue;
+      it->second = MakeOccurrence(spec, due);
+      UpdateReady(spec, it->second, now);
+    }
+  }
+  return next;
+}
+
+void SetQueues(Board& board, std::map<QueueId, QueueTerms> queues) {
+  board.queues = std::move(queues);
+  for (auto& [id, job] : board.jobs) {
+    const auto it = board.queues.find(job.record.spec.queue);
+    if (it == board.queues.end()) continue;
+    job.terms = it->second;
+    job.objective = ObjectiveOf(job.record.spec, job.terms);
+  }
+}
+
+TaskEntity* FindTask(Board& board, const TaskKey& key) {
+  const auto job = board.jobs.find(key.job);
+  if (job == board.jobs.end()) return nullptr;
+  const auto it = job->second.occurrences.find(key.occurrence);
+  if (it == job->second.occurrences.end()) return nullptr;
+  if (key.step >= it->second.steps.size()) return nullptr;
+  auto& tasks = it->second.steps[key.step].tasks;
+  return key.index < tasks.size() ? &tasks[key.index] : nullptr;
+}
+
+const StepSpec* FindStep(const Board& board, const TaskKey& key) {
+  const auto job = board.jobs.find(key.job);
+  if (job == board.jobs.end()) return nullptr;
+  const auto& steps = job->second.record.spec.steps;
+  return key.step < steps.size() ? &steps[key.step] : nullptr;
+}
+
+}  // namespace almondtally::sched
--- /dev/null
+++ b/source/sched/records.cc
@@ -0,0 +1,32 @@
+#include "sched/board.h"
+
+namespace almondtally::sched {
+
+JobProgress ProgressOf(const JobEntity& job) {
+  JobProgress out;
+  if (IsFinal(job.state)) {
+    out.state = job.state;
+    out.ended_at_ms = job.ended_at_ms;
+  }
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+      StepProgress row;
+      row.occurrence = number;
+      row.step = i;
+      bool any = false;
+      for (uint32_t k = 0; k < occurrence.steps[i].tasks.size(); ++k) {
+        const TaskEntity& task = occurrence.steps[i].tasks[k];
+        const bool done = task.phase == TaskPhase::kDone;
+        row.done += done ? '1' : '0';
+        any = any || done || task.failures > 0;
+        if (task.failures > 0 && !done) {
+          row.failures.push_back({k, task.failures});
+        }
+      }
+      if (any) out.steps.push_back(std::move(row));
+    }
+  }
+  return out;
+}
+
+}  // namespace almondtally::sched
--- a/source/state/config_log.h
+++ b/source/state/config_log.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/table.h"
+#include "external/table.h"
 #include "state/config.h"
 
 namespace almondtally {
--- a/source/target/target_context.h
+++ b/source/target/target_context.h
@@ -7,7 +7,7 @@
 #include "base/random.h"
 #include "metrics/metrics.h"
 #include "peer/links.h"
-#include "platform/worker.h"
+#include "external/worker.h"
 #include "state/config.h"
 #include "target/pressure.h"
 #include "target/request_table.h"
--- a/source/target/target_main.cc
+++ b/source/target/target_main.cc
@@ -5,7 +5,8 @@
 
 #include "base/log.h"
 #include "peer/request_headers.h"
-#include "platform/http_worker.h"
+#include "platform/mains.h"
+#include "external/http_worker.h"
 #include "settings/setting.h"
 #include "target/announcer.h"
 #include "target/request_server.h"
@@ -219,5 +220,9 @@
 }  // namespace almondtally
 
 int main(int argc, char** argv) {
-  return almondtally::Main({argv + 1, argv + argc});
+  const std::vector<std::string> args(argv + 1, argv + argc);
+  if (!args.empty() && args[0] == "agent") {
+    return almondtally::platform::RunAgent({args.begin() + 1, args.end()});
+  }
+  return almondtally::Main(args);
 }
--- a/source/wire/http_client.cc
+++ b/source/wire/http_client.cc
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <cstring>
 #include <utility>
+#include <vector>
 
 #include "wire/h2o_include.h"
 
@@ -16,6 +17,8 @@
   h2o_timeout_t io_timeout{};
   h2o_http1client_ctx_t context{};
   std::map<Address, std::unique_ptr<h2o_socketpool_t>> pools;
+  /// Kept because calls in flight still refer to them.
+  std::vector<std::unique_ptr<h2o_socketpool_t>> retired;
 };
 
 namespace {
@@ -43,7 +46,11 @@
              Duration timeout) {
     // h2o keeps a plain pointer, so the call owns itself until it ends.
     self_ = shared_from_this();
-    timer_ = loop_.After(timeout, [this] { Fail(WireError::kTimeout); });
+    timer_ = loop_.After(timeout, [this, &client, to] {
+      // Idle connections to a silent peer are likely to be dead as well.
+      RetirePool(client, to);
+      Fail(WireError::kTimeout);
+    });
     if (reuse) {
       h2o_http1client_connect_with_pool(&native_, this, &client.context,
                                         PoolOf(client, to), OnConnect);
@@ -72,6 +79,14 @@
   }
 
  private:
+  /// Later calls open new connections; idle ones end by their own timeout.
+  static void RetirePool(ClientState& client, const Address& to) {
+    const auto it = client.pools.find(to);
+    if (it == client.pools.end()) return;
+    client.retired.push_back(std::move(it->second));
+    client.pools.erase(it);
+  }
+
   static h2o_socketpool_t* PoolOf(ClientState& client, const Address& to) {
     auto& pool = client.pools[to];
     if (pool == nullptr) {
--- a/source/wire/http_server.cc
+++ b/source/wire/http_server.cc
@@ -126,6 +126,7 @@
   HttpRequest out;
   out.method = ToText(req.method);
   out.path = ToText(req.path);
+  out.authority = ToText(req.authority);
   for (size_t i = 0; i < req.headers.size; ++i) {
     const h2o_header_t& header = req.headers.entries[i];
     out.headers.push_back({ToText(*header.name), ToText(header.value)});
--- a/source/wire/http_types.h
+++ b/source/wire/http_types.h
@@ -28,6 +28,8 @@
   std::string path;
   Headers headers;
   std::string body;
+  /// Host and port that the caller addressed; set on received requests.
+  std::string authority = {};
 };
 
 enum class WireError : uint8_t {
--- a/tests/fakes/worker_fake.cc
+++ b/tests/fakes/worker_fake.cc
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "platform/worker.h"
+#include "external/worker.h"
 #include "settings/setting.h"
 #include "wire/http_client.h"
 #include "wire/http_server.h"
--- a/tests/state/memory_table.h
+++ b/tests/state/memory_table.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-#include "platform/table.h"
+#include "external/table.h"
 
 namespace almondtally {
 
