Learnt interference decides where fillers run and how fast

Ruled out: too few processors (fillers idle at limit 0 on VMs with idle processors). Change: NLMS model of log tail share by pair of images; limits by image, least harmful first; tasks that count are packed, fillers go where they harm nothing; runs held down are moved.

--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -69,6 +69,29 @@
   return job.started ? JobState::kRunning : JobState::kPending;
 }
 
+/// @return the steps in short, such as "8x3500m,4000MB,2200ms,filler".
+std::string DescribeSteps(const JobSpec& spec) {
+  std::string out;
+  for (const StepSpec& step : spec.steps) {
+    if (!out.empty()) out += ';';
+    out += std::to_string(step.count) + "x" +
+           std::to_string(step.each.cpu.value) + "m," +
+           std::to_string(step.each.memory.value) + "MB," +
+           std::to_string(step.estimate_ms) + "ms";
+    if (step.checkpoints) out += ",saves";
+    if (step.filler) out += ",filler";
+    if (step.lasting) out += ",lasting";
+    if (step.gang) out += ",gang";
+    if (step.copies_allowed) out += ",copies";
+    if (step.max_per_vm > 0) out += ",apart" + std::to_string(step.max_per_vm);
+    if (step.tail_target_ms > 0) {
+      out += ",tail" + std::to_string(step.tail_target_ms) + "ms";
+    }
+    if (!step.image.empty()) out += ",image=" + step.image;
+  }
+  return out;
+}
+
 }  // namespace
 
 Planner::Planner(Loop& loop, Links& links, const Store& store,
@@ -660,6 +683,7 @@
         {{"job", id.value},
          {"queue", it->second.record.spec.queue.value},
          {"priority", it->second.terms.priority},
+         {"steps", DescribeSteps(it->second.record.spec)},
          {"objective_ms", it->second.objective.count()},
          {"waited_ms", (now - it->second.accepted_at).count()}});
     auto node = accepting_.extract(id);
--- a/source/sched/board.h
+++ b/source/sched/board.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "sched/interference.h"
 #include "sched/job.h"
 #include "sched/messages.h"
 
@@ -87,6 +88,8 @@
   uint64_t stop_batch = 0;
   int64_t pace_wanted = 100;
   int64_t pace_sent = 100;
+  /// Since when the limit has been low.
+  MonotonicTime slowed_since{};
   bool size_wanted = false;
   int64_t percent = 0;
   int64_t measure = -1;
@@ -129,9 +132,10 @@
   std::set<JobId> failing_jobs;
   MonotonicTime set_aside_until{};
 
-  /// Speed limit of fillers on this VM, and when it may next change.
-  int64_t filler_pace = 100;
+  /// When the speed limits of its fillers may next change.
   MonotonicTime next_pace_at{};
+  /// By how much the serving tasks are above their prediction, smoothed.
+  double residual = 0;
 };
 
 /// Everything that the planner of a shard knows: entities in tables. The
@@ -142,6 +146,7 @@
   std::map<JobId, JobEntity> jobs;
   std::map<VmId, VmEntity> vms;
   std::map<QueueId, QueueTerms> queues;
+  Interference interference;
   uint64_t starts = 0;
   /// Numbers changes of progress, and the newest that the store has.
   uint64_t change = 0;
@@ -215,6 +220,10 @@
 
 /// Places idle tasks of ready steps.
 void PlaceTasks(Board& board, MonotonicTime now, Decisions& log);
+/// @return the largest share of full speed at which a filler could run on a
+/// VM without harm to what serves there, over what its other fillers take.
+double AllowedShare(const Board& board, const VmEntity& vm,
+                    const StepSpec& filler, const TaskKey& key);
 /// Sets the speed limits of fillers beside tasks that serve users.
 void PaceFillers(Board& board, MonotonicTime now, Decisions& log);
 /// Moves runs off VMs that leave, and stops what is not wanted any more.
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -9,16 +9,19 @@
 // Load pattern: small urgent jobs arrive steadily while wide batch jobs come
 // in bursts that exceed the free processors for seconds. Jobs are ranked by
 // priority and by the time at which they will be late; what is past any use
-// goes last but still runs. Placement spreads load, so that fillers find idle
-// processors on every VM.
+// goes last but still runs. Tasks that count against a VM's capacity are packed
+// and fillers go where they harm nothing, so that some VMs stay free of tasks
+// that fillers could disturb.
 
 namespace almondtally::sched {
 namespace {
 
 /// A job that is late by this many times its objective earns nothing more.
 constexpr int64_t kUselessAfter = 3;
-/// A filler waits if less than this share of its demand would be idle.
-constexpr double kLeastFillerShare = 0.5;
+/// A filler waits if it would run at less than this share of full speed.
+constexpr double kLeastFillerShare = 0.45;
+/// Serving tasks use about this share of the processors that they claim.
+constexpr double kServingUse = 0.6;
 /// Run numbers of one task within one planner's epoch.
 constexpr uint64_t kRunsPerEpoch = 1'000;
 
@@ -58,7 +61,11 @@
         size.cpu = MilliCpu(0);
       }
       slot.free -= size;
-      slot.idle_cpu -= size.cpu.value;
+      const StepSpec* step = FindStep(board, task);
+      const bool serves = step != nullptr && step->tail_target_ms > 0;
+      const double used = serves ? kServingUse : 1;
+      slot.idle_cpu -= static_cast<int64_t>(
+          static_cast<double>(size.cpu.value) * used);
     }
     out.push_back(slot);
   }
@@ -128,40 +135,58 @@
   return step.max_per_vm == 0 || CountOfStep(*slot.vm, key) < step.max_per_vm;
 }
 
+/// @return the share of full speed at which a filler would run.
+double FillerShare(const Board& board, const Slot& slot, const StepSpec& step,
+                   const TaskKey& key) {
+  const auto wanted =
+      static_cast<double>(std::max<int64_t>(1, step.each.cpu.value));
+  const double idle = static_cast<double>(slot.idle_cpu - slot.filler_cpu);
+  const double by_room = std::clamp(idle / wanted, 0.0, 1.0);
+  if (by_room <= 0) return 0;
+  return std::min(by_room, AllowedShare(board, *slot.vm, step, key));
+}
+
 /// @return how good a VM is for a task; higher is better.
-double Score(const Slot& slot, const StepSpec& step, const TaskEntity& task) {
+double Score(const Board& board, const Slot& slot, const StepSpec& step,
+             const TaskKey& key, const TaskEntity& task) {
   const auto capacity =
       static_cast<double>(std::max<int64_t>(1, slot.vm->worker.capacity.cpu.value));
   const auto left = static_cast<double>(slot.idle_cpu - slot.filler_cpu);
   double score = left / capacity;
+  if (step.filler) {
+    const double share = FillerShare(board, slot, step, key);
+    if (share < kLeastFillerShare) return std::numeric_limits<double>::lowest();
+    // Speed first; among equals the VM with the most idle processors.
+    score = 4 * share + score;
+  } else {
+    // The fullest VM that has room, by what counts against its capacity.
+    score = -static_cast<double>(slot.free.cpu.value) / capacity;
+  }
   const auto& failed = task.failed_on;
   if (std::find(failed.begin(), failed.end(), slot.vm->id) != failed.end()) {
-    score -= 2;
+    score -= 8;
   }
-  if (!slot.vm->failing_jobs.empty()) score -= 1;
+  if (!slot.vm->failing_jobs.empty()) score -= 4;
   if (!step.data_rack.empty() &&
       slot.vm->worker.rack.value != step.data_rack) {
-    score -= 1;
+    score -= 2;
   }
   return score;
 }
 
-Slot* ChooseSlot(std::vector<Slot>& slots, const QueueTerms& terms,
+Slot* ChooseSlot(const Board& board, std::vector<Slot>& slots, const QueueTerms& terms,
                  const StepSpec& step, const TaskKey& key,
                  const TaskEntity& task) {
   Slot* best = nullptr;
   double best_score = std::numeric_limits<double>::lowest();
   for (Slot& slot : slots) {
     if (!IsEligible(slot, terms, step, key)) continue;
-    const double score = Score(slot, step, task);
+    const double score = Score(board, slot, step, key, task);
     if (score <= best_score) continue;
     best = &slot;
     best_score = score;
   }
-  if (best == nullptr || !step.filler) return best;
-  const auto idle = static_cast<double>(best->idle_cpu - best->filler_cpu);
-  const auto wanted = static_cast<double>(step.each.cpu.value);
-  return idle >= wanted * kLeastFillerShare ? best : nullptr;
+  return best;
 }
 
 void Claim(Slot& slot, const StepSpec& step) {
@@ -209,7 +234,6 @@
   run.size = step.each;
   run.filler = step.filler;
   run.known = true;
-  if (step.filler) run.pace_wanted = vm.filler_pace;
   vm.runs[key] = run;
 }
 
@@ -223,7 +247,7 @@
   for (; key.index < step.tasks.size(); ++key.index) {
     TaskEntity& task = step.tasks[key.index];
     if (task.phase != TaskPhase::kIdle || task.not_before > now) continue;
-    Slot* slot = ChooseSlot(slots, candidate.job->terms, spec, key, task);
+    Slot* slot = ChooseSlot(board, slots, candidate.job->terms, spec, key, task);
     if (slot == nullptr) {
       // Its siblings need the same; only the VMs to avoid may differ.
       if (task.failed_on.empty()) return;
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "sched/board.h"
@@ -19,6 +20,9 @@
 constexpr Duration kSetAside{4'000};
 /// How long a lasting task waits before it is started again.
 constexpr Duration kLastingPause{50};
+/// Share of a new measure in a VM's smoothed residual.
+constexpr double kResidualStep = 0.3;
+constexpr double kMilli = 1'000;
 
 JobEntity* FindJob(Board& board, const JobId& id) {
   const auto it = board.jobs.find(id);
@@ -157,6 +161,26 @@
   TakeTaskEnd(board, now, *job, end.task, *task, vm, end, log);
 }
 
+/// Learns from the tail latency of a serving task what disturbs it.
+void LearnFrom(Board& board, VmEntity& vm, const StepSpec& serving,
+               const VmRun& run) {
+  if (run.measure <= 0 || run.phase != RunPhase::kRunning) return;
+  std::vector<FillerUse> fillers;
+  double predicted = BaseOf(board.interference, serving.image);
+  for (const auto& [key, it] : vm.runs) {
+    const StepSpec* step = it.filler ? FindStep(board, key) : nullptr;
+    if (step == nullptr || it.measure <= 0) continue;
+    const double processors = static_cast<double>(it.measure) / kMilli;
+    fillers.push_back({step->image, processors});
+    predicted +=
+        SlopeOf(board.interference, step->image, serving.image) * processors;
+  }
+  const double share = static_cast<double>(run.measure) /
+                       static_cast<double>(serving.tail_target_ms);
+  vm.residual += kResidualStep * (std::log(share) - predicted - vm.residual);
+  Learn(board.interference, serving.image, share, fillers);
+}
+
 /// Takes a reported run for the task's present one, or stops it.
 void TakeRun(Board& board, MonotonicTime now, VmEntity& vm,
              const RunReport& report, Decisions& log) {
@@ -178,6 +202,9 @@
     run.filler = step->filler;
   }
   run.size_wanted = report.unsized;
+  if (step != nullptr && step->tail_target_ms > 0) {
+    LearnFrom(board, vm, *step, run);
+  }
   JobEntity* job = FindJob(board, report.task.job);
   TaskEntity* task = FindTask(board, report.task);
   if (job == nullptr || task == nullptr || IsFinal(job->state) ||
