Entries survive lost links and hand over when they miss the store; tests

Ruled out by reading: the store client, the front server. A link that is dropped while a call on it ends is destroyed inside the map's erase; with one link the map clears itself, and the callback uses it.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -285,6 +285,7 @@
     ++table.version;
   }
   table.planner = request.planner;
+  table.planner_address = request.planner_address;
   table.contacted_at = now;
   if (request.life != table.life) return true;
   table.fencing = std::max(table.fencing, request.fencing_base);
@@ -306,6 +307,7 @@
                       const SyncRequest& request) {
   SyncReport out;
   out.epoch = table.epoch;
+  out.planner_address = table.planner_address;
   out.life = table.life;
   out.stamp = AgentTime(now.time_since_epoch().count());
   out.version = table.version;
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -58,6 +58,7 @@
   AgentLife life;
   PlannerEpoch epoch;
   std::string planner;
+  std::string planner_address;
   uint64_t version = 1;
   uint64_t batch = 0;
   MonotonicTime contacted_at{};
--- a/source/peer/links.h
+++ b/source/peer/links.h
@@ -28,7 +28,10 @@
 
   PeerLink& To(const Address& address);
   /// Closes the link; calls on it end as lost.
-  void Drop(const Address& address) { links_.erase(address); }
+  void Drop(const Address& address) {
+    // Calls that end with the link may use the table: the entry leaves first.
+    const auto link = links_.extract(address);
+  }
   /// @return bytes sent and received on all links.
   uint64_t bytes_out() const;
   uint64_t bytes_in() const;
--- a/source/planner/gateway.cc
+++ b/source/planner/gateway.cc
@@ -10,6 +10,9 @@
 /// Longest wait for one planner's answer; a store that is slow answers later
 /// than that only if it is hardly of use.
 constexpr Duration kPlannerTimeout{2'000};
+/// How long a request waits for another entry to take over from a planner
+/// that cannot reach the store: a claim, reading all rows, hearing the agents.
+constexpr Duration kTakeOverPatience{500};
 /// Silence of the link for this long means that the planner is gone.
 constexpr int64_t kNoPlannerRetryAfterMs = 1'000;
 
@@ -20,6 +23,8 @@
   MonotonicTime deadline{};
   Planner::AnswerFn fn;
   bool maybe_sent = false;
+  /// Since when the planner has been known to miss the store.
+  MonotonicTime take_over_since{};
 
   void Finish(const JobAnswer& answer) {
     const auto done = std::exchange(fn, nullptr);
@@ -40,6 +45,13 @@
   loop_.After(kRetryEvery, [this, attempt] { Try(attempt); });
 }
 
+bool Gateway::MayTakeOver(Attempt& attempt, const JobAnswer& answer) {
+  const MonotonicTime now = loop_.now();
+  if (attempt.take_over_since == MonotonicTime{}) attempt.take_over_since = now;
+  if (now - attempt.take_over_since > kTakeOverPatience) return false;
+  return planner_.OfferTakeOver(answer.owner_epoch);
+}
+
 void Gateway::Try(const std::shared_ptr<Attempt>& attempt) {
   if (attempt->fn == nullptr) return;
   const Duration left = attempt->deadline - loop_.now();
@@ -61,16 +73,23 @@
     });
   }
   const auto& owner = planner_.owner();
-  const auto address =
-      owner ? ParseAddress(owner->address) : std::optional<Address>();
-  if (!address) return TryLater(attempt);
+  if (!owner) return TryLater(attempt);
   links_.Send<JobAnswer>(
-      *address, path::kJobCall, attempt->call, std::min(left, kPlannerTimeout),
-      [this, attempt, to = *address](std::optional<JobAnswer> answer,
-                                     const WireReason& why) {
+      owner->address, path::kJobCall, attempt->call,
+      std::min(left, kPlannerTimeout),
+      [this, attempt, to = owner->address](std::optional<JobAnswer> answer,
+                                           const WireReason& why) {
+        if (answer && answer->store_away && MayTakeOver(*attempt, *answer)) {
+          return TryLater(attempt);
+        }
         if (answer && answer->verdict != JobVerdict::kUnknown) {
           return attempt->Finish(*answer);
         }
+        if (answer) {
+          if (answer->owner_address.empty()) return TryLater(attempt);
+          planner_.TakeOwnerHint(answer->owner_epoch, answer->owner_address);
+          return TryLater(attempt);
+        }
         const bool not_sent = why.code == WireError::kConnect ||
                               why.code == WireError::kRefusedByPeer;
         if (!not_sent) attempt->maybe_sent = true;
--- a/source/planner/gateway.h
+++ b/source/planner/gateway.h
@@ -24,6 +24,7 @@
   struct Attempt;
 
   void Try(const std::shared_ptr<Attempt>& attempt);
+  bool MayTakeOver(Attempt& attempt, const JobAnswer& answer);
   void TryLater(const std::shared_ptr<Attempt>& attempt);
 
   Loop& loop_;
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -18,6 +18,8 @@
 /// A head that has not changed for this long, over successful reads, belongs
 /// to an owner that is gone: three heartbeats.
 constexpr Duration kOwnerSilence{1'300};
+/// How often a process tries to take over from a planner without the store.
+constexpr Duration kOfferEvery{100};
 /// Time between attempts to read all rows after a takeover.
 constexpr Duration kLoadRetry{100};
 /// Pause before a commit that failed is sent again.
@@ -111,47 +113,77 @@
 // Ownership.
 
 void Planner::WatchHead() {
-  // How long the head has been the same, by this process's own reads.
-  struct Watch {
-    RowVersion version;
-    MonotonicTime since{};
-    MonotonicTime asked_at{};
-    bool reading = false;
-  };
-  auto watch = std::make_shared<Watch>();
-  watch->since = loop_.now();
-  loop_.Every(kWatchEvery, [this, watch] {
-    if (planning_ || loading_ || retiring_ || watch->reading) {
-      watch->since = loop_.now();
+  watch_.since = loop_.now();
+  ReadHead();
+  loop_.Every(kWatchEvery, [this] { ReadHead(); });
+}
+
+void Planner::ReadHead() {
+  if (planning_ || loading_ || retiring_ || watch_.reading) {
+    watch_.since = loop_.now();
+    return;
+  }
+  watch_.reading = true;
+  watch_.asked_at = loop_.now();
+  journal_.Read([this](bool ok) {
+    watch_.reading = false;
+    store_read_failed_ = !ok;
+    if (ok) NoteHead();
+    if (planning_ || loading_ || retiring_) return;
+    const MonotonicTime now = loop_.now();
+    if (!ok) {
+      // Nobody can be judged silent while the store is.
+      watch_.since = now;
       return;
     }
-    watch->reading = true;
-    watch->asked_at = loop_.now();
-    journal_.Read([this, watch](bool ok) {
-      watch->reading = false;
-      if (planning_ || loading_ || retiring_) return;
-      const MonotonicTime now = loop_.now();
-      const Duration took = now - watch->asked_at;
-      if (!ok) {
-        // Nobody can be judged silent while the store is.
-        watch->since = now;
-        return;
-      }
-      if (journal_.version() != watch->version) {
-        watch->version = journal_.version();
-        watch->since = now;
-      }
-      const auto& head = journal_.head();
-      const bool vacant = !head || head->planner.empty();
-      const bool former_self = head && head->planner == settings_.id.value;
-      const Duration silent = now - watch->since;
-      const Duration limit = (vacant || former_self)
-                                 ? Duration(0)
-                                 : kOwnerSilence + 2 * took;
-      if (silent < limit + settings_.take_over_delay) return;
-      TakeOver();
-    });
+    if (journal_.version() != watch_.version) {
+      watch_.version = journal_.version();
+      watch_.since = now;
+    }
+    if (IsOrphan(now)) TakeOver();
+  });
+}
+
+bool Planner::IsOrphan(MonotonicTime now) const {
+  const auto& head = journal_.head();
+  const bool vacant = !head || head->planner.empty();
+  const bool former_self = head && head->planner == settings_.id.value;
+  const Duration took = now - watch_.asked_at;
+  const Duration limit =
+      vacant || former_self ? Duration(0) : kOwnerSilence + 2 * took;
+  return now - watch_.since >= limit + settings_.take_over_delay;
+}
+
+void Planner::NoteHead() {
+  const auto& head = journal_.head();
+  if (head) TakeOwnerHint(head->epoch, head->address);
+}
+
+void Planner::TakeOwnerHint(PlannerEpoch epoch, const std::string& address) {
+  if (owner_ && owner_->epoch > epoch) return;
+  const auto parsed = ParseAddress(address);
+  if (!parsed) {
+    // The owner of that epoch retired.
+    if (owner_ && owner_->epoch <= epoch) owner_.reset();
+    return;
+  }
+  owner_ = Owner{epoch, *parsed};
+}
+
+bool Planner::OfferTakeOver(PlannerEpoch epoch) {
+  if (planning_ || loading_) return true;
+  if (retiring_ || store_read_failed_) return false;
+  const MonotonicTime now = loop_.now();
+  if (now - offered_at_ < kOfferEvery) return true;
+  offered_at_ = now;
+  journal_.Read([this, epoch](bool ok) {
+    store_read_failed_ = !ok;
+    if (!ok || planning_ || loading_ || retiring_) return;
+    NoteHead();
+    const auto& head = journal_.head();
+    if (head && head->epoch == epoch) TakeOver();
   });
+  return true;
 }
 
 void Planner::TakeOver() {
@@ -171,6 +203,7 @@
       return;
     }
     proof_at_ = sent_at;
+    NoteHead();
     Log(Event::kShardClaimed,
         {{"epoch", static_cast<int64_t>(journal_.head()->epoch.value)},
          {"from", from}});
@@ -288,7 +321,14 @@
 }
 
 void Planner::Handle(const JobCall& call, AnswerFn fn) {
-  if (!planning_) return fn(MakeAnswer(JobVerdict::kUnavailable, "not planning"));
+  if (!planning_) {
+    JobAnswer answer = MakeAnswer(JobVerdict::kUnknown, "not planning");
+    if (owner_) {
+      answer.owner_epoch = owner_->epoch;
+      answer.owner_address = ToString(owner_->address);
+    }
+    return fn(answer);
+  }
   switch (call.verb) {
     case JobVerb::kSubmit:
       return Submit(call, std::move(fn));
@@ -316,7 +356,11 @@
     return fn(MakeAnswer(JobVerdict::kRejected, why.text));
   }
   if (StoreIsDown()) {
-    return fn(MakeAnswer(JobVerdict::kUnavailable, "the store is away"));
+    JobAnswer answer =
+        MakeAnswer(JobVerdict::kUnavailable, "the store is away");
+    answer.store_away = true;
+    answer.owner_epoch = board_.epoch;
+    return fn(answer);
   }
   JobRecord record;
   record.spec = call.spec;
@@ -423,6 +467,7 @@
   SyncRequest request;
   request.epoch = board_.epoch;
   request.planner = settings_.id.value;
+  request.planner_address = ToString(settings_.peer);
   request.life = vm.life;
   request.worker = vm.worker.id;
   request.fencing_base = FencingBase(board_, vm);
@@ -466,12 +511,14 @@
   const auto it = board_.vms.find(id);
   if (!planning_ || it == board_.vms.end()) return;
   if (report.epoch > board_.epoch) {
-    // The head row has the last word; the next commit reads it.
     Log(Event::kEpochPassed,
         {{"vm", id.value},
          {"epoch", static_cast<int64_t>(board_.epoch.value)},
          {"newer", static_cast<int64_t>(report.epoch.value)}});
-    return;
+    // Agents obey the newer planner; without the store this is how a replaced
+    // one learns of it.
+    TakeOwnerHint(report.epoch, report.planner_address);
+    return StepDown("an agent obeys a newer planner");
   }
   Decisions log;
   TakeReport(board_, loop_.now(), it->second, report, log);
@@ -714,8 +761,10 @@
     for (auto& fn : node.mapped()) fns.push_back(std::move(fn));
     ForgetJob(board_, id);
   }
-  const JobAnswer answer =
+  JobAnswer answer =
       MakeAnswer(JobVerdict::kUnavailable, "the store is away: " + why);
+  answer.store_away = true;
+  answer.owner_epoch = board_.epoch;
   for (auto& fn : fns) fn(answer);
 }
 
--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -26,6 +26,12 @@
   Duration keep_ended{120'000};
 };
 
+/// Who plans a shard.
+struct Owner {
+  PlannerEpoch epoch;
+  Address address;
+};
+
 /// Plans one shard of jobs while it owns it, and watches its owner otherwise.
 /// All I/O of planning: the decisions are those of the board.
 class Planner {
@@ -41,8 +47,14 @@
   void Retire();
 
   bool planning() const { return planning_; }
-  /// @return the present owner, empty if none is known.
-  std::optional<Head> owner() const { return journal_.head(); }
+  /// @return who plans, as far as this process knows; empty if it does not.
+  const std::optional<Owner>& owner() const { return owner_; }
+  /// Takes over what another process knows of who plans.
+  void TakeOwnerHint(PlannerEpoch epoch, const std::string& address);
+  /// The planner of `epoch` said that it cannot reach the store: takes over
+  /// if this process can.
+  /// @return false if this process cannot either.
+  bool OfferTakeOver(PlannerEpoch epoch);
 
   /// Answers a caller's request. Only while planning.
   void Handle(const JobCall& call, AnswerFn fn);
@@ -59,6 +71,9 @@
 
   // Ownership.
   void WatchHead();
+  void ReadHead();
+  bool IsOrphan(MonotonicTime now) const;
+  void NoteHead();
   void TakeOver();
   void LoadRows();
   void BeginPlanning(const std::vector<StoreRow>& jobs,
@@ -98,6 +113,17 @@
   PlannerSettings settings_;
 
   Journal journal_;
+  /// How long the head has been the same, by this process's own reads.
+  struct Watch {
+    RowVersion version;
+    MonotonicTime since{};
+    MonotonicTime asked_at{};
+    bool reading = false;
+  };
+  Watch watch_;
+  std::optional<Owner> owner_;
+  bool store_read_failed_ = false;
+  MonotonicTime offered_at_{};
   bool planning_ = false;
   bool loading_ = false;
   bool retiring_ = false;
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -73,6 +73,7 @@
   uint32_t message_version = kMessageVersion;
   PlannerEpoch epoch;
   std::string planner;
+  std::string planner_address;
   /// The agent's life that the orders are for; 0 before the first answer.
   AgentLife life;
   /// Worker that the orders are for; starts for another are dropped.
@@ -97,7 +98,7 @@
   int64_t wait_ms = 0;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    SyncRequest, message_version, epoch, planner, life, worker, fencing_base,
+    SyncRequest, message_version, epoch, planner, planner_address, life, worker, fencing_base,
     stamp, grant_ms, batch, starts, stops, paces, sizes, ends_recorded, seen_version, seen_end,
     wait_ms)
 
@@ -179,6 +180,8 @@
   /// Highest epoch that the agent has seen; a higher one than asked with
   /// means that the asking planner was replaced.
   PlannerEpoch epoch;
+  /// Where the planner of that epoch is reached.
+  std::string planner_address;
   AgentLife life;
   AgentTime stamp;
   uint64_t version = 0;
@@ -193,7 +196,7 @@
   std::vector<EndReport> ends;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SyncReport, message_version,
-                                                epoch, life, stamp, version,
+                                                epoch, planner_address, life, stamp, version,
                                                 batch, settled, complete, worker,
                                                 runs, ends)
 
@@ -248,10 +251,18 @@
   int64_t pending_jobs = 0;
   int64_t retry_after_ms = 0;
   std::string reason;
+  /// The planner cannot reach the store; another entry may.
+  bool store_away = false;
+  /// With kUnknown from a process that does not plan: who does, as far as it
+  /// knows.
+  std::string owner_address;
+  PlannerEpoch owner_epoch;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobAnswer, message_version,
                                                 verdict, state, pending_jobs,
-                                                retry_after_ms, reason)
+                                                retry_after_ms, reason,
+                                                store_away, owner_address,
+                                                owner_epoch)
 
 struct TakeOverCall {
   uint32_t message_version = kMessageVersion;
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -15,7 +15,7 @@
 constexpr Duration kRefusalPause{100};
 /// A VM on which tasks of this many different jobs failed in a row is set
 /// aside: one job that fails everywhere is not the VM's fault.
-constexpr size_t kFailingJobs = 2;
+constexpr size_t kFailingJobs = 3;
 /// How long a VM is set aside before it is tried again.
 constexpr Duration kSetAside{4'000};
 /// How long a lasting task waits before it is started again.
--- a/source/wire/peer_link.cc
+++ b/source/wire/peer_link.cc
@@ -268,6 +268,7 @@
 void PeerConnection::Flush() {
   if (lost_ || !connected_ || in_session_ || !writing_.empty()) return;
   constexpr size_t kWriteBatchBytes = 1 << 16;
+  const auto keep = shared_from_this();
   in_session_ = true;
   while (writing_.size() < kWriteBatchBytes) {
     const uint8_t* data = nullptr;
@@ -277,7 +278,8 @@
                     static_cast<size_t>(n));
   }
   in_session_ = false;
-  if (writing_.empty()) return;
+  // A callback of the session may have dropped the link.
+  if (lost_ || writing_.empty()) return;
   // From here on any submitted stream may have reached the peer.
   for (const auto& [stream, call] : streams_) call->sent = Sent::kMaybe;
   if (link_ != nullptr) link_->bytes_out_ += writing_.size();
@@ -426,6 +428,8 @@
                                                  std::move(hooks));
   call->StartTimer(timeout);
   if (connection_ == nullptr || !connection_->usable()) {
+    // The old one may still have calls to finish, after this link is gone.
+    if (connection_ != nullptr) connection_->Detach();
     connection_ = std::make_shared<detail::PeerConnection>(loop_, *this);
     connection_->Open();
   }
--- /dev/null
+++ b/tests/planner/memory_store.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "external/store.h"
+
+namespace almondtally::sched {
+
+/// A partitioned store in memory, with faults to switch on.
+struct MemoryStore {
+  std::map<StoreKey, StoreRow> rows;
+  uint64_t version = 0;
+  uint64_t commits = 0;
+  /// Answer of the next commits; kUnknown commits and does not say so.
+  PlatformError next_error = PlatformError::kNone;
+  /// Commits that wait to take effect late; see ApplyLate.
+  bool hold_commits = false;
+  std::vector<StoreTransaction> held;
+
+  StoreCommitted Apply(const StoreTransaction& tx) {
+    StoreCommitted out;
+    for (const StoreCheck& check : tx.checks) {
+      const auto it = rows.find(check.at);
+      const RowVersion found =
+          it == rows.end() ? RowVersion(0) : it->second.version;
+      if (it != rows.end()) out.current.push_back(it->second);
+      if (found != check.version) out.error = PlatformError::kConflict;
+    }
+    if (out.error != PlatformError::kNone) return out;
+    out.current.clear();
+    out.version = RowVersion(++version);
+    for (const StorePut& put : tx.puts) {
+      rows[put.at] = {put.at, put.value, out.version, false};
+    }
+    for (const StoreKey& at : tx.deletes) rows.erase(at);
+    return out;
+  }
+
+  void ApplyLate() {
+    for (const StoreTransaction& tx : std::exchange(held, {})) Apply(tx);
+  }
+
+  Store Make() {
+    Store out;
+    out.commit = [this](const StoreTransaction& tx, const auto& fn) {
+      ++commits;
+      if (hold_commits) {
+        held.push_back(tx);
+        return fn({PlatformError::kUnknown, {}, {}, "held"});
+      }
+      if (next_error == PlatformError::kNone) return fn(Apply(tx));
+      if (next_error == PlatformError::kUnknown) Apply(tx);
+      fn({next_error, {}, {}, "switched off"});
+    };
+    out.read = [this](const std::string& table, const std::string& partition,
+                      const std::string& from, const auto& fn) {
+      if (next_error != PlatformError::kNone) {
+        return fn(std::nullopt, {next_error, "switched off"});
+      }
+      StoreRows found;
+      found.version = RowVersion(version);
+      for (const auto& [at, row] : rows) {
+        if (at.table == table && at.partition == partition && at.key >= from) {
+          found.rows.push_back(row);
+        }
+      }
+      fn(std::move(found), {});
+    };
+    out.changes = [](const std::string&, RowVersion, Duration, const auto&) {};
+    return out;
+  }
+};
+
+}  // namespace almondtally::sched
--- /dev/null
+++ b/tests/sched/board_builder.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sched/board.h"
+
+namespace almondtally::sched {
+
+inline const MonotonicTime kNow{Duration(1'000'000)};
+inline const ServiceId kPool{"pool"};
+
+inline Resources Size(int64_t cpu, int64_t memory = 100) {
+  return {MilliCpu(cpu), Mebibytes(memory), Accelerators(0)};
+}
+
+inline StepSpec Step(uint32_t count, int64_t cpu) {
+  StepSpec step;
+  step.count = count;
+  step.each = Size(cpu);
+  step.estimate_ms = 1'000;
+  return step;
+}
+
+inline JobEntity& Accept(Board& board, const std::string& id,
+                         std::vector<StepSpec> steps, int64_t priority = 0,
+                         uint32_t max_attempts = 2) {
+  JobRecord record;
+  record.spec.id = JobId(id);
+  record.spec.queue = QueueId("queue");
+  record.spec.steps = std::move(steps);
+  record.terms.service = kPool;
+  record.terms.priority = priority;
+  record.terms.max_attempts = max_attempts;
+  record.accepted_at_ms = kNow.time_since_epoch().count();
+  JobEntity& job = AddJob(board, kNow, record);
+  job.accepted = true;
+  return job;
+}
+
+/// A report of an idle VM; tests add to it.
+inline SyncReport Report(const VmEntity& vm, int64_t cpu = 4'000) {
+  SyncReport report;
+  report.life = AgentLife(7);
+  report.stamp = AgentTime(500);
+  report.settled = true;
+  report.version = vm.seen_version + 1;
+  report.batch = vm.batch_sent;
+  report.complete = !vm.synced;
+  report.worker.id = WorkerId("worker-" + vm.id.value);
+  report.worker.service = kPool;
+  report.worker.capacity = Size(cpu, 100'000);
+  report.worker.responsive = true;
+  return report;
+}
+
+inline VmEntity& AddVm(Board& board, const std::string& id,
+                       int64_t cpu = 4'000) {
+  VmEntity& vm = board.vms[VmId(id)];
+  vm.id = VmId(id);
+  Decisions log;
+  TakeReport(board, kNow, vm, Report(vm, cpu), log);
+  return vm;
+}
+
+inline Board NewBoard() {
+  Board board;
+  board.epoch = PlannerEpoch(1);
+  board.took_over_at = kNow;
+  return board;
+}
+
+inline RunReport Running(const TaskKey& task, RunNumber run) {
+  RunReport out;
+  out.task = task;
+  out.run = run;
+  out.phase = RunPhase::kRunning;
+  return out;
+}
+
+/// Sends the VM's orders and reports every run on it as running.
+inline void RunAll(Board& board, VmEntity& vm, MonotonicTime now = kNow) {
+  SyncRequest request;
+  if (HasOrders(vm)) TakeOrders(board, vm, request);
+  SyncReport report = Report(vm, vm.worker.capacity.cpu.value);
+  for (const auto& [task, run] : vm.runs) {
+    report.runs.push_back(Running(task, run.run));
+  }
+  Decisions log;
+  TakeReport(board, now, vm, report, log);
+}
+
+/// Reports the end of a run.
+inline void End(Board& board, VmEntity& vm, const TaskKey& task, RunNumber run,
+                RunEnd end, MonotonicTime now = kNow,
+                const std::string& checkpoint = "") {
+  SyncReport report = Report(vm, vm.worker.capacity.cpu.value);
+  report.ends.push_back({vm.seen_end + 1, task, run, end, checkpoint, ""});
+  Decisions log;
+  TakeReport(board, now, vm, report, log);
+}
+
+inline void Place(Board& board, MonotonicTime now = kNow) {
+  Decisions log;
+  PlaceTasks(board, now, log);
+}
+
+inline TaskKey Key(const std::string& job, uint32_t step, uint32_t index) {
+  return {JobId(job), 0, step, index};
+}
+
+}  // namespace almondtally::sched
