Timers run inside h2o's loop; a failure that is listed again counts once

Our timers ran outside of h2o's loop; a call that times out writes a frame, its callback drops the link, and the socket is freed while it is still in h2o's list of pending callbacks. Change: timers are called from a timeout of h2o's loop, which runs pending callbacks after it. Change: the last run whose end was taken over is kept, also in the progress row.

--- a/source/sched/board.cc
+++ b/source/sched/board.cc
@@ -93,7 +93,10 @@
     }
     for (const TaskFailures& failed : row.failures) {
       if (failed.index >= step.tasks.size()) continue;
-      step.tasks[failed.index].failures = failed.count;
+      TaskEntity& task = step.tasks[failed.index];
+      task.failures = failed.count;
+      task.run = failed.last_run;
+      task.ended_run = failed.last_run;
       job.started = true;
     }
   }
--- a/source/sched/board.h
+++ b/source/sched/board.h
@@ -30,6 +30,8 @@
 struct TaskEntity {
   TaskPhase phase = TaskPhase::kIdle;
   RunNumber run;
+  /// The last run whose end was taken over; its end may be listed again.
+  RunNumber ended_run;
   VmId vm;
   uint32_t failures = 0;
   std::string checkpoint;
--- a/source/sched/job.h
+++ b/source/sched/job.h
@@ -158,13 +158,16 @@
 struct TaskFailures {
   uint32_t index = 0;
   uint32_t count = 0;
+  /// The last of them: a worker may list its end again.
+  RunNumber last_run;
 };
 inline void to_json(nlohmann::json& out, const TaskFailures& it) {
-  out = {it.index, it.count};
+  out = {it.index, it.count, it.last_run};
 }
 inline void from_json(const nlohmann::json& in, TaskFailures& it) {
   in.at(0).get_to(it.index);
   in.at(1).get_to(it.count);
+  in.at(2).get_to(it.last_run);
 }
 
 /// Durable progress of one step of one occurrence.
--- a/source/sched/records.cc
+++ b/source/sched/records.cc
@@ -20,7 +20,7 @@
         row.done += done ? '1' : '0';
         any = any || done || task.failures > 0;
         if (task.failures > 0 && !done) {
-          row.failures.push_back({k, task.failures});
+          row.failures.push_back({k, task.failures, task.ended_run});
         }
       }
       if (any) out.steps.push_back(std::move(row));
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -150,7 +150,7 @@
   JobEntity* job = FindJob(board, end.task.job);
   TaskEntity* task = FindTask(board, end.task);
   if (job == nullptr || task == nullptr || IsFinal(job->state)) return;
-  if (task->phase == TaskPhase::kDone) return;
+  if (task->phase == TaskPhase::kDone || end.run <= task->ended_run) return;
   const bool present = task->phase == TaskPhase::kPlaced &&
                        task->vm == vm.id && task->run == end.run;
   // An idle task's run of an earlier planner, or one whose VM was given up:
@@ -158,6 +158,8 @@
   const bool orphan = task->phase == TaskPhase::kIdle;
   if (!present && !orphan) return;
   if (end.end != RunEnd::kNotStarted) job->started = true;
+  task->ended_run = end.run;
+  task->run = std::max(task->run, end.run);
   TakeTaskEnd(board, now, *job, end.task, *task, vm, end, log);
 }
 
--- a/source/wire/loop.cc
+++ b/source/wire/loop.cc
@@ -12,6 +12,27 @@
 
 }  // namespace
 
+namespace detail {
+
+/// Calls the loop's own timers from within h2o's loop. Outside of it, a socket
+/// that is written to and then closed would be freed while h2o still has it
+/// in its list of pending callbacks.
+struct TimerHook {
+  h2o_timeout_t at_once{};
+  h2o_timeout_entry_t entry{};
+  Loop* loop = nullptr;
+};
+
+namespace {
+
+void OnTimerHook(h2o_timeout_entry_t* entry) {
+  auto* hook = H2O_STRUCT_FROM_MEMBER(TimerHook, entry, entry);
+  hook->loop->RunDueTimers();
+}
+
+}  // namespace
+}  // namespace detail
+
 Loop::Loop() = default;
 
 // h2o's loop cannot be destroyed while sockets are linked to it; the process
@@ -23,6 +44,10 @@
   // A peer that closes while we write must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   native_ = h2o_evloop_create();
+  hook_ = new detail::TimerHook;
+  hook_->loop = this;
+  hook_->entry.cb = detail::OnTimerHook;
+  h2o_timeout_init(native_, &hook_->at_once, 0);
   return native_;
 }
 
@@ -50,8 +75,11 @@
 
 void Loop::Run() {
   while (!stopped_) {
-    h2o_evloop_run(native(), MillisToNextTimer());
-    RunDueTimers();
+    const int32_t wait = MillisToNextTimer();
+    if (wait == 0) {
+      h2o_timeout_link(native(), &hook_->at_once, &hook_->entry);
+    }
+    h2o_evloop_run(native(), wait);
   }
 }
 
--- a/source/wire/loop.h
+++ b/source/wire/loop.h
@@ -11,6 +11,10 @@
 
 namespace almondtally {
 
+namespace detail {
+struct TimerHook;
+}  // namespace detail
+
 using TimerId = uint64_t;
 
 /// The event loop of a process: sockets by h2o and timers on the runtime's
@@ -49,6 +53,8 @@
 
   Clock clock_;
   st_h2o_evloop_t* native_ = nullptr;
+  /// Lives as long as `native_`, which is never destroyed.
+  detail::TimerHook* hook_ = nullptr;
   bool stopped_ = false;
   TimerId next_id_ = 1;
   std::map<std::pair<MonotonicTime, TimerId>, std::function<void()>> timers_;
--- a/tests/peer/links_test.cc
+++ b/tests/peer/links_test.cc
@@ -2,6 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
+#include <vector>
+
+#include "wire/http_server.h"
+
 namespace almondtally {
 namespace {
 
@@ -30,5 +35,34 @@
   CHECK(ended == 3);
 }
 
+TEST_CASE("a link may be dropped as one of its calls times out") {
+  // The timeout writes a frame to the connection that is then closed.
+  Loop loop;
+  WireReason why;
+  const Address address{"127.0.0.1", 28'117};
+  HttpServer server(loop, {}, [](const Exchange& exchange) {
+    static std::vector<Exchange> kept;
+    kept.push_back(exchange);
+  });
+  REQUIRE(server.Listen(address, why));
+  Links links(loop);
+  constexpr int kRounds = 40;
+  int ended = 0;
+  std::function<void()> next = [&] {
+    links.To(address).Start(
+        {"GET", "/", {}, ""}, Duration(15),
+        CollectWhole(1, [&](const std::optional<WholeAnswer>& answer, CallEnd) {
+          CHECK_FALSE(answer);
+          links.Drop(address);
+          if (++ended == kRounds) return loop.Stop();
+          next();
+        }));
+  };
+  next();
+  loop.After(kTimeout, [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(ended == kRounds);
+}
+
 }  // namespace
 }  // namespace almondtally
--- a/tests/sched/board_test.cc
+++ b/tests/sched/board_test.cc
@@ -263,6 +263,36 @@
   CHECK(read.started);
 }
 
+TEST_CASE("a failure that is listed again counts once") {
+  Board board = NewBoard();
+  VmEntity& vm = AddVm(board, "a");
+  JobEntity& job = Accept(board, "j", {Step(1, 1'000)}, 0, 2);
+  Place(board);
+  RunAll(board, vm);
+  End(board, vm, Key("j", 0, 0), RunNumber(1), RunEnd::kFailed);
+  SUBCASE("by an agent that restarted") {
+    SyncReport again = Report(vm);
+    again.life = AgentLife(8);
+    again.complete = true;
+    again.ends.push_back(
+        {1, Key("j", 0, 0), RunNumber(1), RunEnd::kFailed, "", ""});
+    Decisions log;
+    TakeReport(board, kNow, vm, again, log);
+    CHECK(FindTask(board, Key("j", 0, 0))->failures == 1);
+    CHECK(job.state == JobState::kPending);
+  }
+  SUBCASE("to a new planner") {
+    Board next = NewBoard();
+    JobEntity& read = AddJob(next, kNow, job.record);
+    read.accepted = true;
+    ApplyProgress(next, kNow, read, ProgressOf(job));
+    VmEntity& same = AddVm(next, "a");
+    End(next, same, Key("j", 0, 0), RunNumber(1), RunEnd::kFailed);
+    CHECK(FindTask(next, Key("j", 0, 0))->failures == 1);
+    CHECK(read.state == JobState::kPending);
+  }
+}
+
 TEST_CASE("occurrences start when due, and not again after a restart") {
   Board board = NewBoard();
   JobRecord record;
