--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -161,9 +161,15 @@
   return call;
 }
 
-void NoteTold(RunTable& table) {
-  table.lease_told_until =
-      std::max(table.lease_told_until, table.lease_until);
+/// Takes over what became of a call that carried a lease.
+void TakeLeaseResult(RunTable& table, MonotonicTime lease_until,
+                     CallOutcome outcome) {
+  const auto it = table.leases_in_flight.find(lease_until);
+  if (it != table.leases_in_flight.end()) table.leases_in_flight.erase(it);
+  // A worker that refuses a start still takes the lease; one that was not
+  // reached does not, but the two are not told apart for starts.
+  if (outcome == CallOutcome::kWrongWorker) return;
+  table.lease_told_until = std::max(table.lease_told_until, lease_until);
 }
 
 /// Voids every unanswered call under the present fencing number once the
@@ -251,6 +257,7 @@
   table.clock_known = false;
   table.worker.responsive = false;
   table.lease_told_until = {};
+  table.leases_in_flight.clear();
   table.renew_now = true;
 }
 
@@ -342,8 +349,9 @@
         run.call_fencing = table.fencing;
         out.push_back({MakeCall(table),
                        {run.order.task, run.order.run, run.order.payload,
-                        run.order.checkpoint, run.order.permit}});
-        NoteTold(table);
+                        run.order.checkpoint, run.order.permit},
+                       table.lease_until});
+        table.leases_in_flight.insert(table.lease_until);
       }
     }
     it = next;
@@ -353,6 +361,7 @@
 
 void TakeStarted(RunTable& table, MonotonicTime now, const StartCall& call,
                  const CallResult& result) {
+  TakeLeaseResult(table, call.lease_until, result.outcome);
   if (result.outcome == CallOutcome::kUnknown &&
       call.call.fencing >= table.fencing) {
     RaiseFencing(table);
@@ -452,12 +461,16 @@
                        !table.worker.responsive;
   out.wait = at_once ? Duration(0) : kRenewWait;
   table.renew_now = false;
-  if (table.clock_known) NoteTold(table);
+  if (table.clock_known) {
+    out.lease_until = table.lease_until;
+    table.leases_in_flight.insert(out.lease_until);
+  }
   return out;
 }
 
 void TakeListing(RunTable& table, MonotonicTime now, const RenewCall& call,
                  const WorkerListing& listing) {
+  TakeLeaseResult(table, call.lease_until, CallOutcome::kOk);
   if (call.call.worker != table.worker.id) return;
   if (listing.born_ms != 0 && table.worker_born_ms != 0 &&
       listing.born_ms != table.worker_born_ms) {
@@ -484,6 +497,10 @@
 void TakeRenewFailure(RunTable& table, MonotonicTime now,
                       const RenewCall& call, const CallResult& result) {
   (void)now;
+  // A renewal is rejected only if it did not reach the worker.
+  const bool reached = result.outcome != CallOutcome::kRejected;
+  TakeLeaseResult(table, call.lease_until,
+                  reached ? result.outcome : CallOutcome::kWrongWorker);
   if (call.call.worker != table.worker.id) return;
   if (result.outcome == CallOutcome::kFenced) {
     return TakeFenced(table, call.call.fencing);
@@ -498,9 +515,12 @@
   }
   if (table.runs.empty() || table.worker.responsive) return;
   if (table.lease_told_until == MonotonicTime{}) return;
-  const Duration lease = table.lease_told_until - table.clock_at;
-  const Duration drift = lease * kClockDriftPercent / 100;
-  if (now <= table.lease_told_until + drift) return;
+  MonotonicTime told = table.lease_told_until;
+  if (!table.leases_in_flight.empty()) {
+    told = std::max(told, *table.leases_in_flight.rbegin());
+  }
+  const Duration drift = (told - table.clock_at) * kClockDriftPercent / 100;
+  if (now <= told + drift) return;
   ConcludeAll(table, RunEnd::kLapsed, "the worker is silent");
 }
 
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -76,10 +77,12 @@
   MonotonicTime clock_at{};
 
   uint64_t fencing = 0;
-  /// Until when the planner lets the runs go on, and the latest such time
-  /// that the worker was told.
+  /// Until when the planner lets the runs go on.
   MonotonicTime lease_until{};
+  /// The latest such time that the worker may have been told, and what calls
+  /// in flight may tell it.
   MonotonicTime lease_told_until{};
+  std::multiset<MonotonicTime> leases_in_flight;
 
   std::map<TaskKey, AgentRun> runs;
   std::deque<AgentEnd> ends;
@@ -110,6 +113,8 @@
 struct StartCall {
   WorkerCall call;
   WorkerStart start;
+  /// The end of the lease that it carries, on our clock.
+  MonotonicTime lease_until{};
 };
 struct StopCall {
   WorkerCall call;
@@ -142,6 +147,8 @@
   uint64_t recorded = 0;
   Duration wait{};
   MonotonicTime sent_at{};
+  /// The end of the lease that it carries, on our clock.
+  MonotonicTime lease_until{};
 };
 
 /// @return the next renewal, or empty if no worker is known.
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -269,6 +269,7 @@
   loading_ = false;
   planning_ = true;
   for (const StoreRow& row : agents.rows) TakeAgentRow(row);
+  for (auto& [id, vm] : board_.vms) vm.unaccounted = true;
   store_failed_ = false;
   flushed_at_ = now;
   Log(Event::kPlanningStarted,
--- a/source/sched/board.h
+++ b/source/sched/board.h
@@ -112,6 +112,9 @@
 
   /// A complete report of this life was taken over under our epoch.
   bool synced = false;
+  /// Listed when this planner took over, and not synced since: runs of an
+  /// earlier planner may go on there unseen.
+  bool unaccounted = false;
   AgentLife life;
   /// Lives seen under this epoch; part of the fencing numbers.
   uint64_t lives = 0;
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -308,6 +308,7 @@
   DropMissing(board, now, vm, report);
   vm.seen_version = report.version;
   TakeRecorded(board, board.recorded_change);
+  vm.unaccounted = false;
   if (vm.synced) return;
   vm.synced = true;
   Decision line;
@@ -346,9 +347,8 @@
   const MonotonicTime free_at = board.took_over_at + kProofLife + kLeaseGrant +
                                 kLeaseGrant * 3 / 100 + kLeaseMargin;
   if (now >= free_at) return false;
-  return std::any_of(board.vms.begin(), board.vms.end(), [&](const auto& it) {
-    return !it.second.synced && it.second.heard_at < board.took_over_at;
-  });
+  return std::any_of(board.vms.begin(), board.vms.end(),
+                     [](const auto& it) { return it.second.unaccounted; });
 }
 
 void TakeRecorded(Board& board, uint64_t change) {
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -249,6 +249,43 @@
   CHECK(Ends(table)[0].end == RunEnd::kLapsed);
 }
 
+TEST_CASE("renewals that do not reach a dead worker extend no lease") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  TakeStarted(table, kNow, TakeStarts(table, kNow)[0], {});
+  // The planner goes on granting, since it hears the agent.
+  for (int i = 1; i <= 60; ++i) {
+    const MonotonicTime now = kNow + Duration(100) * i;
+    SyncRequest request = Request(table);
+    request.stamp = AgentTime(now.time_since_epoch().count());
+    TakeRequest(table, now, request);
+    TakeRenewFailure(table, now, *TakeRenewal(table, now),
+                     {CallOutcome::kRejected, "connect"});
+    ExpireLeases(table, now);
+  }
+  CHECK(table.runs.empty());
+}
+
+TEST_CASE("a renewal without an answer may have extended the lease") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  TakeStarted(table, kNow, TakeStarts(table, kNow)[0], {});
+  const MonotonicTime later = kNow + Duration(2'000);
+  SyncRequest request = Request(table);
+  request.stamp = AgentTime(later.time_since_epoch().count());
+  TakeRequest(table, later, request);
+  const auto renewal = TakeRenewal(table, later);
+  table.worker.responsive = false;
+  SUBCASE("while it is in flight") {}
+  SUBCASE("after it timed out") {
+    TakeRenewFailure(table, later, *renewal, {CallOutcome::kUnknown, ""});
+  }
+  ExpireLeases(table, kNow + kLeaseGrant + Duration(500));
+  CHECK(table.runs.size() == 1);
+  ExpireLeases(table, later + kLeaseGrant + Duration(500));
+  CHECK(table.runs.empty());
+}
+
 TEST_CASE("an agent that restarts finds runs and asks for their sizes") {
   RunTable table;
   table.life = AgentLife(8);
--- a/tests/sched/board_test.cc
+++ b/tests/sched/board_test.cc
@@ -154,7 +154,9 @@
 TEST_CASE("a new planner starts earlier jobs only once every agent was heard") {
   Board board = NewBoard();
   board.epoch = PlannerEpoch(2);
-  board.vms[VmId("silent")].id = VmId("silent");
+  VmEntity& silent = board.vms[VmId("silent")];
+  silent.id = VmId("silent");
+  silent.unaccounted = true;
   VmEntity& vm = AddVm(board, "a");
   JobEntity& old = Accept(board, "old", {Step(1, 1'000)});
   old.inherited = true;
@@ -162,6 +164,13 @@
   Place(board);
   CHECK(vm.runs.count(Key("new", 0, 0)) == 1);
   CHECK(vm.runs.count(Key("old", 0, 0)) == 0);
+  // An agent that answers, but has not listed its worker yet, is not enough.
+  SyncReport unsettled = Report(silent);
+  unsettled.settled = false;
+  Decisions log;
+  TakeReport(board, kNow, silent, unsettled, log);
+  Place(board);
+  CHECK(vm.runs.count(Key("old", 0, 0)) == 0);
   const MonotonicTime free = kNow + kProofLife + kLeaseGrant +
                              kLeaseGrant * 3 / 100 + kLeaseMargin;
   Place(board, free);
