A restarted agent gets its fencing number before it knows its worker

Now the planner answers the agent's present life at once, and an agent without a number does not call. The test failed first.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -452,7 +452,8 @@
 }
 
 std::optional<RenewCall> TakeRenewal(RunTable& table, MonotonicTime now) {
-  if (table.worker.id.empty()) return std::nullopt;
+  // Without a planner's fencing number the worker would reject it.
+  if (table.worker.id.empty() || table.fencing == 0) return std::nullopt;
   RenewCall out;
   out.call = MakeCall(table);
   out.recorded = table.worker_end_recorded;
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -469,9 +469,10 @@
   request.epoch = board_.epoch;
   request.planner = settings_.id.value;
   request.planner_address = ToString(settings_.peer);
-  request.life = vm.life;
+  request.life = vm.present_life;
   request.worker = vm.worker.id;
   request.fencing_base = FencingBase(board_, vm);
+  if (vm.present_life != vm.life) return request;
   request.seen_version = vm.synced ? vm.seen_version : 0;
   request.seen_end = vm.seen_end;
   request.ends_recorded = vm.ends_recorded;
--- a/source/sched/board.h
+++ b/source/sched/board.h
@@ -116,6 +116,8 @@
   /// earlier planner may go on there unseen.
   bool unaccounted = false;
   AgentLife life;
+  /// The agent's present life; until it is synced, `life` is the former one.
+  AgentLife present_life;
   /// Lives seen under this epoch; part of the fencing numbers.
   uint64_t lives = 0;
   AgentTime stamp;
--- a/source/sched/orders.cc
+++ b/source/sched/orders.cc
@@ -25,7 +25,7 @@
 }  // namespace
 
 bool HasOrders(const VmEntity& vm) {
-  if (!vm.synced) return false;
+  if (!vm.synced || vm.present_life != vm.life) return false;
   for (const auto& [key, run] : vm.runs) {
     if (NeedsStart(run) || NeedsStop(run) || NeedsPace(run)) return true;
     if (run.size_wanted && run.known) return true;
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -275,10 +275,14 @@
 void TakeReport(Board& board, MonotonicTime now, VmEntity& vm,
                 const SyncReport& report, Decisions& log) {
   vm.heard_at = now;
+  if (report.life != vm.present_life) {
+    // Even before it knows its worker, it needs a fencing number of its own.
+    vm.present_life = report.life;
+    ++vm.lives;
+  }
   if (!report.settled) return;
   if (report.life != vm.life) {
     vm.life = report.life;
-    ++vm.lives;
     vm.synced = false;
     vm.seen_version = 0;
     vm.seen_end = 0;
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -55,6 +55,7 @@
   table.life = AgentLife(7);
   table.started_at = kNow;
   TakeHello(table, kNow, Hello());
+  TakeRequest(table, kNow, Request(table));
   const auto renewal = TakeRenewal(table, kNow);
   REQUIRE(renewal);
   TakeListing(table, kNow, *renewal, Listing());
@@ -292,6 +293,9 @@
   table.started_at = kNow;
   CHECK_FALSE(MakeReport(table, kNow, Request(table)).settled);
   TakeHello(table, kNow, Hello());
+  // Its fencing number would be lower than the worker has seen.
+  CHECK_FALSE(TakeRenewal(table, kNow));
+  TakeRequest(table, kNow, Request(table));
   WorkerListing listing = Listing();
   listing.running = {{kTask, RunNumber(3), "c1", 40, -1}};
   TakeListing(table, kNow, *TakeRenewal(table, kNow), listing);
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -22,25 +22,41 @@
   bool agent_reachable = true;
   std::map<Address, Planner*> planners;
 
+  /// Highest fencing number that the worker has seen, and its runs.
+  uint64_t worker_fencing = 0;
+  std::vector<WorkerRun> worker_runs;
+
   World() {
     Pause(loop.clock_for_tests());
-    agent.life = AgentLife(3);
     memory.Apply({{}, {{{table::kAgents, "shard-0", "vm"},
                         EncodeRow(AgentRow{ToString(kAgent), {}})}}, {}});
+    StartAgent(3);
+  }
+
+  void StartAgent(uint64_t life) {
+    agent = {};
+    agent.life = AgentLife(life);
+    agent.started_at = loop.now();
     WorkerHello hello;
     hello.worker.id = WorkerId("w");
     hello.worker.service = ServiceId("pool");
     hello.worker.capacity = {MilliCpu(8'000), Mebibytes(8'000),
                              Accelerators(0)};
     TakeHello(agent, loop.now(), hello);
-    Renew();
   }
 
-  void Renew(const WorkerListing& listing = {}) {
+  void Renew() {
     const auto call = TakeRenewal(agent, loop.now());
-    WorkerListing with_clock = listing;
-    with_clock.clock_ms = loop.now().time_since_epoch().count();
-    TakeListing(agent, loop.now(), *call, with_clock);
+    if (!call) return;
+    if (call->call.fencing < worker_fencing) {
+      return TakeRenewFailure(agent, loop.now(), *call,
+                              {CallOutcome::kFenced, "fence"});
+    }
+    worker_fencing = call->call.fencing;
+    WorkerListing listing;
+    listing.clock_ms = loop.now().time_since_epoch().count();
+    listing.running = worker_runs;
+    TakeListing(agent, loop.now(), *call, listing);
   }
 
   void Advance(Duration by) {
@@ -79,8 +95,10 @@
     }
     TakeRequest(agent, loop.now(), *request);
     for (const StartCall& call : TakeStarts(agent, loop.now())) {
+      worker_runs.push_back({call.start.task, call.start.run, "", 100, -1});
       TakeStarted(agent, loop.now(), call, {});
     }
+    Renew();
     fn(EncodeMessage(MakeReport(agent, loop.now(), *request)), {});
   }
 };
@@ -206,6 +224,22 @@
   CHECK(answers.all[1].state == JobState::kRunning);
 }
 
+TEST_CASE("an agent that restarts goes on where it was") {
+  World world;
+  Entry a(world, "a", kFirst);
+  world.Advance(Duration(1'000));
+  Answers answers;
+  a.gateway.Call(Submit("j"), kPatience, answers.Fn());
+  world.Advance(Duration(300));
+  REQUIRE(world.agent.runs.size() == 1);
+  world.StartAgent(4);
+  world.Advance(Duration(700));
+  CHECK(world.agent.settled);
+  REQUIRE(world.agent.runs.size() == 1);
+  CHECK(world.agent.runs.begin()->second.order.run == RunNumber(1));
+  CHECK(world.agent.lease_until > world.loop.now());
+}
+
 TEST_CASE("a planner that an agent no longer obeys steps down") {
   World world;
   Entry a(world, "a", kFirst);
