Fillers beyond the idle processors wait again

Now only the disturbance may be overridden by waiting, not the lack of idle processors. Test beside the one for the wait.

--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -190,15 +190,12 @@
   return step.max_per_vm == 0 || CountOfStep(*slot.vm, key) < step.max_per_vm;
 }
 
-/// @return the share of full speed at which a filler would run.
-double FillerShare(const Board& board, const Slot& slot, const StepSpec& step,
-                   const TaskKey& key) {
+/// @return the share of full speed that a VM's idle processors give a filler.
+double RoomShare(const Slot& slot, const StepSpec& step) {
   const auto wanted =
       static_cast<double>(std::max<int64_t>(1, step.each.cpu.value));
-  const double idle = static_cast<double>(slot.idle_cpu - slot.filler_cpu);
-  const double by_room = std::clamp(idle / wanted, 0.0, 1.0);
-  if (by_room <= 0) return 0;
-  return std::min(by_room, AllowedShare(board, *slot.vm, step, key));
+  const auto idle = static_cast<double>(slot.idle_cpu - slot.filler_cpu);
+  return std::clamp(idle / wanted, 0.0, 1.0);
 }
 
 /// @return how good a VM is for a task, higher is better; kNotHere if it had
@@ -210,7 +207,11 @@
   const auto left = static_cast<double>(slot.idle_cpu - slot.filler_cpu);
   double score = left / capacity;
   if (step.filler) {
-    const double share = FillerShare(board, slot, step, key);
+    // More fillers than idle processors would only slow each other down.
+    const double by_room = RoomShare(slot, step);
+    if (by_room < kLeastFillerShare) return kNotHere;
+    const double share =
+        std::min(by_room, AllowedShare(board, *slot.vm, step, key));
     const bool patient = now - task.since < kLongestFillerWait;
     if (share < kLeastFillerShare && patient) return kNotHere;
     // Speed first; among equals the VM with the most idle processors.
--- a/tests/sched/interference_test.cc
+++ b/tests/sched/interference_test.cc
@@ -131,6 +131,16 @@
   CHECK(vm.runs.count(Key("heavy", 0, 0)) == 1);
 }
 
+TEST_CASE("fillers beyond the idle processors wait, however long") {
+  Board board = NewBoard();
+  VmEntity& vm = AddVm(board, "a", 8'000);
+  StepSpec many = Filler("calm");
+  many.count = 6;
+  Accept(board, "many", {many});
+  Place(board, kNow + Duration(5'000));
+  CHECK(vm.runs.size() == 2);
+}
+
 TEST_CASE("serving tasks are packed, so that fillers keep VMs of their own") {
   Board board = NewBoard();
   VmEntity& a = AddVm(board, "a", 32'000);
