Counts failed runs by their numbers, in whatever order they are heard

Ruled out: an end acknowledged before it was stored (the worker listed it again), and a count lost from the progress row (run 1 was there).

Change: a task keeps the numbers of its failed runs, in the progress row too; an earlier run's failure counts while a later run goes on.

Test: "a failure heard after a later run was adopted still counts".

--- a/source/sched/board.cc
+++ b/source/sched/board.cc
@@ -91,11 +91,11 @@
       job.started = true;
     }
     for (const TaskFailures& failed : row.failures) {
-      if (failed.index >= step.tasks.size()) continue;
+      if (failed.index >= step.tasks.size() || failed.runs.empty()) continue;
       TaskEntity& task = step.tasks[failed.index];
-      task.failures = failed.count;
-      task.run = failed.last_run;
-      task.ended_run = failed.last_run;
+      task.failed_runs = failed.runs;
+      task.run = *std::max_element(failed.runs.begin(), failed.runs.end());
+      task.ended_run = task.run;
       job.started = true;
     }
   }
--- a/source/sched/board.h
+++ b/source/sched/board.h
@@ -33,7 +33,8 @@
   /// The last run whose end was taken over; its end may be listed again.
   RunNumber ended_run;
   VmId vm;
-  uint32_t failures = 0;
+  /// Runs that count as attempts, in the order in which they were heard of.
+  std::vector<RunNumber> failed_runs;
   std::string checkpoint;
   /// Not placed before this time.
   MonotonicTime not_before{};
--- a/source/sched/job.h
+++ b/source/sched/job.h
@@ -154,20 +154,18 @@
 /// @return true once nothing more will happen to the job.
 inline bool IsFinal(JobState state) { return state >= JobState::kCompleted; }
 
-/// Failed runs of one task.
+/// Failed runs of one task, by number: workers may list an end again, and the
+/// end of an earlier run may be heard after that of a later one.
 struct TaskFailures {
   uint32_t index = 0;
-  uint32_t count = 0;
-  /// The last of them: a worker may list its end again.
-  RunNumber last_run;
+  std::vector<RunNumber> runs;
 };
 inline void to_json(nlohmann::json& out, const TaskFailures& it) {
-  out = {it.index, it.count, it.last_run};
+  out = {it.index, it.runs};
 }
 inline void from_json(const nlohmann::json& in, TaskFailures& it) {
   in.at(0).get_to(it.index);
-  in.at(1).get_to(it.count);
-  in.at(2).get_to(it.last_run);
+  in.at(1).get_to(it.runs);
 }
 
 /// Durable progress of one step of one occurrence.
--- a/source/sched/records.cc
+++ b/source/sched/records.cc
@@ -18,9 +18,9 @@
         const TaskEntity& task = occurrence.steps[i].tasks[k];
         const bool done = task.phase == TaskPhase::kDone;
         row.done += done ? '1' : '0';
-        any = any || done || task.failures > 0;
-        if (task.failures > 0 && !done) {
-          row.failures.push_back({k, task.failures, task.ended_run});
+        any = any || done || !task.failed_runs.empty();
+        if (!task.failed_runs.empty() && !done) {
+          row.failures.push_back({k, task.failed_runs});
         }
       }
       if (any) out.steps.push_back(std::move(row));
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -87,8 +87,8 @@
 }
 
 void TakeFailed(Board& board, MonotonicTime now, JobEntity& job,
-                const TaskKey& key, TaskEntity& task, VmEntity& vm,
-                Decisions& log) {
+                const TaskKey& key, TaskEntity& task, RunNumber run,
+                VmEntity& vm, Decisions& log) {
   const StepSpec& spec = job.record.spec.steps[key.step];
   NoteVmFailure(vm, now, key.job, log);
   task.failed_on.push_back(vm.id);
@@ -96,10 +96,11 @@
     task.not_before = now + kLastingPause;
     return;
   }
-  ++task.failures;
+  task.failed_runs.push_back(run);
   task.not_before = now + kRetryPause;
   MarkDirty(board, key.job);
-  if (task.failures < std::max<uint32_t>(1, job.terms.max_attempts)) return;
+  const size_t allowed = std::max<uint32_t>(1, job.terms.max_attempts);
+  if (task.failed_runs.size() < allowed) return;
   EndJob(board, now, job, JobState::kFailed);
 }
 
@@ -118,7 +119,7 @@
       if (spec.lasting) break;
       return TakeDone(board, now, job, key, vm.id);
     case RunEnd::kFailed:
-      return TakeFailed(board, now, job, key, task, vm, log);
+      return TakeFailed(board, now, job, key, task, end.run, vm, log);
     case RunEnd::kNotStarted:
       task.not_before = now + kRefusalPause;
       break;
@@ -142,6 +143,23 @@
   log.push_back(std::move(line));
 }
 
+bool WasCounted(const TaskEntity& task, const EndReport& end) {
+  const auto& runs = task.failed_runs;
+  return std::find(runs.begin(), runs.end(), end.run) != runs.end();
+}
+
+/// Takes an end that an earlier planner heard and did not record, while a
+/// later run goes on. A failure is an attempt all the same; success is left to
+/// the later run, since the earlier one may belong to a VM that was given up.
+void TakeEarlierEnd(Board& board, MonotonicTime now, JobEntity& job,
+                    TaskEntity& task, VmEntity& vm, const EndReport& end,
+                    Decisions& log) {
+  const StepSpec& spec = job.record.spec.steps[end.task.step];
+  if (spec.lasting || end.run >= task.run) return;
+  if (end.end != RunEnd::kFailed) return;
+  TakeFailed(board, now, job, end.task, task, end.run, vm, log);
+}
+
 void TakeEnd(Board& board, MonotonicTime now, VmEntity& vm,
              const EndReport& end, Decisions& log) {
   const auto it = vm.runs.find(end.task);
@@ -150,13 +168,16 @@
   JobEntity* job = FindJob(board, end.task.job);
   TaskEntity* task = FindTask(board, end.task);
   if (job == nullptr || task == nullptr || IsFinal(job->state)) return;
-  if (task->phase == TaskPhase::kDone || end.run <= task->ended_run) return;
+  if (task->phase == TaskPhase::kDone || WasCounted(*task, end)) return;
   const bool present = task->phase == TaskPhase::kPlaced && task->vm == vm.id &&
                        task->run == end.run;
   // An idle task's run of an earlier planner, or one whose VM was given up:
   // its outcome is as good as that of a present run.
-  const bool orphan = task->phase == TaskPhase::kIdle;
-  if (!present && !orphan) return;
+  const bool orphan =
+      task->phase == TaskPhase::kIdle && end.run > task->ended_run;
+  if (!present && !orphan) {
+    return TakeEarlierEnd(board, now, *job, *task, vm, end, log);
+  }
   if (end.end != RunEnd::kNotStarted) job->started = true;
   task->ended_run = end.run;
   task->run = std::max(task->run, end.run);
--- a/tests/sched/board_test.cc
+++ b/tests/sched/board_test.cc
@@ -267,7 +267,7 @@
   ApplyProgress(next, kNow, read, *progress);
   CHECK(FindTask(next, Key("j", 0, 0))->phase == TaskPhase::kIdle);
   CHECK(FindTask(next, Key("j", 0, 1))->phase == TaskPhase::kDone);
-  CHECK(FindTask(next, Key("j", 0, 2))->failures == 1);
+  CHECK(FindTask(next, Key("j", 0, 2))->failed_runs.size() == 1);
   CHECK(read.started);
 }
 
@@ -286,7 +286,7 @@
         {1, Key("j", 0, 0), RunNumber(1), RunEnd::kFailed, "", ""});
     Decisions log;
     TakeReport(board, kNow, vm, again, log);
-    CHECK(FindTask(board, Key("j", 0, 0))->failures == 1);
+    CHECK(FindTask(board, Key("j", 0, 0))->failed_runs.size() == 1);
     CHECK(job.state == JobState::kPending);
   }
   SUBCASE("to a new planner") {
@@ -296,11 +296,39 @@
     ApplyProgress(next, kNow, read, ProgressOf(job));
     VmEntity& same = AddVm(next, "a");
     End(next, same, Key("j", 0, 0), RunNumber(1), RunEnd::kFailed);
-    CHECK(FindTask(next, Key("j", 0, 0))->failures == 1);
+    CHECK(FindTask(next, Key("j", 0, 0))->failed_runs.size() == 1);
     CHECK(read.state == JobState::kPending);
   }
 }
 
+// Trace: etna hunt-fe3d-3. A planner without the store heard that run 2 failed
+// and started run 3; its successor adopted run 3 before it heard of run 2.
+TEST_CASE("a failure heard after a later run was adopted still counts") {
+  Board board = NewBoard();
+  VmEntity& a = AddVm(board, "a");
+  VmEntity& b = AddVm(board, "b");
+  JobEntity& job = Accept(board, "j", {Step(1, 1'000)}, 0, 2);
+  const TaskKey key = Key("j", 0, 0);
+  SyncReport adopted = Report(a);
+  adopted.runs = {Running(key, RunNumber(3))};
+  Decisions log;
+  TakeReport(board, kNow, a, adopted, log);
+  SUBCASE("as an attempt") {
+    End(board, b, key, RunNumber(2), RunEnd::kFailed);
+    CHECK(FindTask(board, key)->phase == TaskPhase::kPlaced);
+    End(board, b, key, RunNumber(2), RunEnd::kFailed);
+    CHECK(job.state == JobState::kPending);
+    End(board, a, key, RunNumber(3), RunEnd::kFailed);
+    CHECK(job.state == JobState::kFailed);
+  }
+  SUBCASE("as the last attempt, which ends the run that goes on") {
+    FindTask(board, key)->failed_runs = {RunNumber(1)};
+    End(board, b, key, RunNumber(2), RunEnd::kFailed);
+    CHECK(job.state == JobState::kFailed);
+    CHECK(a.runs.at(key).stop_wanted);
+  }
+}
+
 TEST_CASE("occurrences start when due, and not again after a restart") {
   Board board = NewBoard();
   JobRecord record;
