Fillers run at full speed, are placed by the harm of their image, stopped late

The tail follows the load of each job's users, alike for its tasks; most pairs of images do no harm at all; those that do saturate the queue within half a second, before a measure shows it. Limits set afterwards slowed the fillers, and the same work harmed for longer.

Ranking has a file of its own.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -15,7 +15,7 @@
 /// Pause before a stop or a pace that was not confirmed is sent again.
 constexpr Duration kRepeatAfter{500};
 /// How often changed measures of a run are reported.
-constexpr Duration kMeasureEvery{500};
+constexpr Duration kMeasureEvery{250};
 /// The worker's clock may be up to 2% slow; rounded up.
 constexpr int64_t kClockDriftPercent = 3;
 /// Any lease that a former life of this process was granted has ended by then.
@@ -105,6 +105,7 @@
   AgentRun run;
   run.order = order;
   run.checkpoint = order.checkpoint;
+  run.pace_wanted = order.pace;
   Touch(table, table.runs[order.task] = std::move(run));
 }
 
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -245,6 +245,7 @@
   board_.epoch = journal_.head()->epoch;
   board_.took_over_at = now;
   board_.queues = queues_;
+  board_.tail_limit = settings_.tail_limit;
   board_.unix_offset_ms = WallClockMillis() - now.time_since_epoch().count();
   JobReason why;
   for (const StoreRow& row : jobs) {
--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -24,6 +24,8 @@
   Duration take_over_delay{};
   /// How long the state of an ended job can be asked for.
   Duration keep_ended{120'000};
+  /// How long a serving task may miss its tail latency beside fillers.
+  Duration tail_limit = kDefaultTailLimit;
 };
 
 /// Who plans a shard.
--- a/source/sched/board.cc
+++ b/source/sched/board.cc
@@ -130,6 +130,7 @@
   board.dirty.insert(id);
   ++board.change;
   board.ended.push_back(id);
+  board.loads.erase(id);
   for (auto& [vm_id, vm] : board.vms) {
     for (auto it = vm.runs.lower_bound(TaskKey{id, 0, 0, 0});
          it != vm.runs.end() && it->first.job == id; ++it) {
--- a/source/sched/board.h
+++ b/source/sched/board.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "sched/interference.h"
 #include "sched/job.h"
+#include "sched/load.h"
 #include "sched/messages.h"
 
 namespace almondtally::sched {
@@ -91,10 +92,12 @@
   uint64_t stop_batch = 0;
   int64_t pace_wanted = 100;
   int64_t pace_sent = 100;
-  /// Since when the limit has been low.
-  MonotonicTime slowed_since{};
+  /// Since when its speed limit has been 0.
+  MonotonicTime stopped_since{};
   /// For a serving task: since when it has been over its target.
   MonotonicTime over_since{};
+  /// For a serving task: its last measure as a share of its target.
+  double last_tail = 0;
   bool size_wanted = false;
   int64_t percent = 0;
   int64_t measure = -1;
@@ -144,10 +147,13 @@
 
   /// When the speed limits of its fillers may next change.
   MonotonicTime next_pace_at{};
-  /// By how much the serving tasks are above their prediction, smoothed.
-  double residual = 0;
+  /// Share of the processors that fillers used, by image, at the last report.
+  std::map<std::string, double> filler_uses;
 };
 
+/// How long a serving task may miss its target while fillers run beside it.
+inline constexpr Duration kDefaultTailLimit{4'000};
+
 /// Everything that the planner of a shard knows: entities in tables. The
 /// functions below run over them; nothing here does any I/O.
 struct Board {
@@ -156,7 +162,10 @@
   std::map<JobId, JobEntity> jobs;
   std::map<VmId, VmEntity> vms;
   std::map<QueueId, QueueTerms> queues;
+  Duration tail_limit = kDefaultTailLimit;
   Interference interference;
+  /// Of jobs with tasks that serve users.
+  std::map<JobId, JobLoad> loads;
   uint64_t starts = 0;
   /// Numbers changes of progress, and the newest that the store has.
   uint64_t change = 0;
--- a/source/sched/interference.cc
+++ b/source/sched/interference.cc
@@ -1,84 +1,88 @@
 #include "sched/interference.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace almondtally::sched {
 namespace {
 
-/// Step of the normalized least mean squares update. Half an hour would allow
-/// for less, but images change within minutes and measures are rough.
-constexpr double kStep = 0.35;
-/// How fast the base follows measures with and without fillers beside.
-constexpr double kBaseStep = 0.1;
-constexpr double kBaseStepBeside = 0.02;
-/// Before the first measure: half of the target.
-constexpr double kFirstBase = -0.7;
-/// Before the first measure of a filler: a little harmful.
-constexpr double kFirstSlope = 0.03;
-/// A processor of the worst filler triples the tail.
-constexpr double kMostSlope = 1.0;
-/// Less use than this teaches nothing about a filler.
-constexpr double kLeastProcessors = 0.2;
-/// Weight at which a pair's own slope counts as much as its filler's.
-constexpr double kPriorWeight = 8;
+/// Before the first measure: a few tasks beside do little.
+constexpr double kUsualWeight = 1.2;
+/// Pairs that harm were measured at 4 to 9, the others at 0.
+constexpr double kUsualVariance = 9;
+/// Added to a weight's variance with each sample: harm comes and goes, and what
+/// was learnt long ago must not outweigh the last half minute.
+constexpr double kDrift = 0.005;
+/// More filler images than this per serving image keep the usual weight.
+constexpr size_t kMostImages = 48;
 
-double Blend(const Interference::Slope* own, double prior) {
-  if (own == nullptr) return prior;
-  const double sum = own->weight + kPriorWeight;
-  return (own->value * own->weight + prior * kPriorWeight) / sum;
+size_t IndexOf(Sensitivity& it, const std::string& filler) {
+  const auto [at, is_new] = it.index.try_emplace(filler, it.weights.size());
+  if (!is_new) return at->second;
+  it.weights.push_back(kUsualWeight);
+  for (auto& row : it.covariance) row.push_back(0);
+  it.covariance.emplace_back(it.weights.size(), 0.0);
+  it.covariance.back().back() = kUsualVariance;
+  return at->second;
 }
 
-void Update(Interference::Slope& slope, double step, double processors) {
-  slope.value = std::clamp(slope.value + step, 0.0, kMostSlope);
-  slope.weight += processors;
+/// @return the fillers' shares in the order of the model's arrays.
+std::vector<double> SharesOf(Sensitivity& it,
+                             const std::vector<FillerUse>& fillers) {
+  std::vector<double> out(it.weights.size(), 0.0);
+  for (const FillerUse& filler : fillers) {
+    const bool known = it.index.contains(filler.image);
+    if (!known && it.weights.size() >= kMostImages) continue;
+    const size_t i = IndexOf(it, filler.image);
+    out.resize(it.weights.size(), 0.0);
+    out[i] += filler.share;
+  }
+  return out;
 }
 
 }  // namespace
 
-double BaseOf(const Interference& model, const std::string& serving) {
-  const auto it = model.base.find(serving);
-  return it == model.base.end() ? kFirstBase : it->second;
-}
-
-double SlopeOf(const Interference& model, const std::string& filler,
-               const std::string& serving) {
-  const auto any = model.fillers.find(filler);
-  const double prior =
-      Blend(any == model.fillers.end() ? nullptr : &any->second, kFirstSlope);
-  const auto pair = model.pairs.find({filler, serving});
-  return Blend(pair == model.pairs.end() ? nullptr : &pair->second, prior);
+double WeightOf(const Interference& model, const std::string& filler,
+                const std::string& serving) {
+  const auto it = model.find(serving);
+  if (it == model.end()) return kUsualWeight;
+  const auto at = it->second.index.find(filler);
+  if (at == it->second.index.end()) return kUsualWeight;
+  return std::max(0.0, it->second.weights[at->second]);
 }
 
-void Learn(Interference& model, const std::string& serving, double share,
-           const std::vector<FillerUse>& fillers) {
-  double predicted = BaseOf(model, serving);
-  double squares = 1;
-  double processors = 0;
+double RiseBy(const Interference& model, const std::string& serving,
+              const std::vector<FillerUse>& fillers) {
+  double sum = 0;
   for (const FillerUse& it : fillers) {
-    predicted += SlopeOf(model, it.image, serving) * it.processors;
-    squares += it.processors * it.processors;
-    processors += it.processors;
+    sum += WeightOf(model, it.image, serving) * it.share;
   }
-  const double error = std::log(share) - predicted;
-  double& base =
-      model.base.try_emplace(serving, BaseOf(model, serving)).first->second;
-  if (processors < kLeastProcessors) {
-    base += kBaseStep * error;
-    return;
+  return sum;
+}
+
+void Learn(Interference& model, const std::string& serving, double rise,
+           double noise, const std::vector<FillerUse>& fillers) {
+  Sensitivity& it = model[serving];
+  const auto shares = SharesOf(it, fillers);
+  const size_t n = shares.size();
+  auto& covariance = it.covariance;
+  // A Kalman filter of a slowly drifting vector.
+  std::vector<double> gain(n, 0.0);
+  double variance = noise * noise;
+  double expected = 0;
+  for (size_t i = 0; i < n; ++i) {
+    for (size_t k = 0; k < n; ++k) gain[i] += covariance[i][k] * shares[k];
+    variance += gain[i] * shares[i];
+    expected += it.weights[i] * shares[i];
   }
-  base += kBaseStepBeside * error;
-  for (const FillerUse& it : fillers) {
-    const double step = kStep * error * it.processors / squares;
-    const double now = SlopeOf(model, it.image, serving);
-    auto& pair =
-        model.pairs
-            .try_emplace({it.image, serving}, Interference::Slope{now, 0})
-            .first->second;
-    auto& any = model.fillers.try_emplace(it.image, Interference::Slope{now, 0})
-                    .first->second;
-    Update(pair, step, it.processors);
-    Update(any, step, it.processors);
+  const double error = rise - expected;
+  for (size_t i = 0; i < n; ++i) {
+    it.weights[i] += gain[i] / variance * error;
+    for (size_t k = 0; k < n; ++k) {
+      covariance[i][k] -= gain[i] * gain[k] / variance;
+    }
+    if (shares[i] > 0) {
+      covariance[i][i] = std::min(kUsualVariance, covariance[i][i] + kDrift);
+    }
   }
 }
 
--- a/source/sched/interference.h
+++ b/source/sched/interference.h
@@ -1,45 +1,46 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace almondtally::sched {
 
-/// How fillers disturb tasks that serve users, learnt from measures. The model
-/// is linear in the logarithm of a tail latency over its target:
-/// `base(serving image) + sum of slope(filler, serving) * processors`.
-struct Interference {
-  struct Slope {
-    double value = 0;
-    /// Processor-weighted number of samples.
-    double weight = 0;
-  };
-  /// Log share without fillers, by serving image.
-  std::map<std::string, double> base;
-  /// By filler image and serving image.
-  std::map<std::pair<std::string, std::string>, Slope> pairs;
-  /// By filler image alone, for pairs not seen yet.
-  std::map<std::string, Slope> fillers;
+/// How much the fillers beside it raise the tail latency of one serving image.
+/// The model is linear: the logarithm of the tail rises by `weight * share` for
+/// each filler image, where the share is that of the VM's processors. Weights
+/// are estimated by recursive least squares.
+struct Sensitivity {
+  /// Position of each filler image in the arrays below.
+  std::map<std::string, size_t> index;
+  std::vector<double> weights;
+  /// Covariance of the weights, by row.
+  std::vector<std::vector<double>> covariance;
 };
 
-/// Processors that fillers of one image use.
+/// By serving image. Pairs differ widely: most fillers leave most serving
+/// images alone, and some triple a tail with a seventh of the VM.
+using Interference = std::map<std::string, Sensitivity>;
+
+/// Fillers of one image on a VM.
 struct FillerUse {
   std::string image;
-  double processors = 0;
+  /// Of the VM's processors.
+  double share = 0;
 };
 
-/// Learns from one measure of a serving task.
-/// @param share its tail latency as a share of its target; positive.
-void Learn(Interference& model, const std::string& serving, double share,
-           const std::vector<FillerUse>& fillers);
+/// @return rise of the log tail if the filler used the whole VM; not negative.
+double WeightOf(const Interference& model, const std::string& filler,
+                const std::string& serving);
 
-/// @return log increase of the tail for each processor that the filler uses.
-double SlopeOf(const Interference& model, const std::string& filler,
-               const std::string& serving);
+/// @return rise of the log tail by all fillers on a VM.
+double RiseBy(const Interference& model, const std::string& serving,
+              const std::vector<FillerUse>& fillers);
 
-/// @return log share of a serving task's target without fillers.
-double BaseOf(const Interference& model, const std::string& serving);
+/// Learns from one rise of a log tail.
+/// @param noise standard deviation of `rise`.
+void Learn(Interference& model, const std::string& serving, double rise,
+           double noise, const std::vector<FillerUse>& fillers);
 
 }  // namespace almondtally::sched
--- /dev/null
+++ b/source/sched/load.cc
@@ -0,0 +1,64 @@
+#include "sched/load.h"
+
+#include <algorithm>
+
+namespace almondtally::sched {
+namespace {
+
+/// Load swings within about 10 s, so that a line fits for this long.
+constexpr Duration kWindow{1'000};
+/// A slope from so few samples overshoots; this share of it predicts best.
+constexpr double kDamping = 0.8;
+/// Samples older than this say nothing about now.
+constexpr Duration kStale{4'000};
+/// Samples closer together than this, in s, give no slope.
+constexpr double kLeastSpread = 0.2;
+/// Steepest change a second: a swing from 0.2 to 0.6 of the use of a queue
+/// within 5 s.
+constexpr double kMostSlope = 0.3;
+/// Share of a new sample in the mean: about 5 s of samples of several tasks.
+constexpr double kMeanStep = 0.02;
+constexpr double kMilli = 1'000;
+
+double Seconds(Duration time) {
+  return static_cast<double>(time.count()) / kMilli;
+}
+
+}  // namespace
+
+void TakeSample(JobLoad& load, const LoadSample& sample) {
+  load.samples.push_back(sample);
+  load.mean += kMeanStep * sample.trust * (sample.log_tail - load.mean);
+  while (sample.at - load.samples.front().at > kWindow) {
+    load.samples.pop_front();
+  }
+}
+
+double LogTailAt(const JobLoad& load, MonotonicTime when) {
+  if (load.samples.empty()) return JobLoad::kFirst;
+  const MonotonicTime last = load.samples.back().at;
+  if (when - last > kStale) return load.mean;
+  double sum = 0;
+  double mean_time = 0;
+  double mean = 0;
+  for (const LoadSample& it : load.samples) {
+    sum += it.trust;
+    mean_time += it.trust * Seconds(it.at - last);
+    mean += it.trust * it.log_tail;
+  }
+  mean_time /= sum;
+  mean /= sum;
+  double spread = 0;
+  double covariance = 0;
+  for (const LoadSample& it : load.samples) {
+    const double time = Seconds(it.at - last) - mean_time;
+    spread += it.trust * time * time;
+    covariance += it.trust * time * (it.log_tail - mean);
+  }
+  if (spread / sum < kLeastSpread * kLeastSpread) return mean;
+  const double slope =
+      kDamping * std::clamp(covariance / spread, -kMostSlope, kMostSlope);
+  return mean + slope * (Seconds(when - last) - mean_time);
+}
+
+}  // namespace almondtally::sched
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -41,10 +41,12 @@
   std::string payload;
   std::string checkpoint;
   std::string permit;
+  /// Speed limit from the start on.
+  int64_t pace = 100;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartOrder, task, run, size,
                                                 filler, payload, checkpoint,
-                                                permit)
+                                                permit, pace)
 
 struct StopOrder {
   TaskKey task;
--- a/source/sched/orders.cc
+++ b/source/sched/orders.cc
@@ -57,9 +57,10 @@
       continue;
     }
     run.start_batch = batch;
+    run.pace_sent = run.pace_wanted;
     request.starts.push_back({key, run.run, run.size, run.filler,
                               job->second.record.spec.payload, task->checkpoint,
-                              ""});
+                              "", run.pace_wanted});
   }
 }
 
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -1,32 +1,27 @@
 #include <algorithm>
 #include <limits>
 #include <map>
-#include <tuple>
 #include <vector>
 
 #include "sched/board.h"
+#include "sched/rank.h"
 
-// Load pattern: small urgent jobs arrive steadily while wide batch jobs come
-// in bursts that exceed the free processors for seconds. Ranked by deadline
-// alone, a burst makes every job late. So within a priority the jobs that can
-// still be on time go first, those with the least work left before the others;
-// then the late ones; what is past any use goes last but still runs. Tasks that
-// count against a VM's capacity are packed and fillers go where they harm
-// nothing, so that some VMs stay free of tasks that fillers could disturb.
+// Load pattern: lasting tasks that serve users take most of every VM, and
+// fillers, which disturb some of them, want what is left. Tasks that count
+// against a VM's capacity are packed and fillers go where they harm least, so
+// that some VMs stay free of tasks that fillers could disturb.
 
 namespace almondtally::sched {
 namespace {
 
-/// A job that is late by this many times its objective earns nothing more.
-constexpr int64_t kUselessAfter = 3;
 /// A filler waits if it would run at less than this share of full speed.
-constexpr double kLeastFillerShare = 0.45;
+constexpr double kLeastFillerShare = 0.7;
 /// But not for longer than this: slow progress is better than none. Callers
 /// are owed a run within 3 s while most of the room is free.
-constexpr Duration kLongestFillerWait{1'500};
-/// Serving tasks use about this share of the processors that they claim.
+constexpr Duration kLongestFillerWait{2'300};
+/// Serving tasks use about this share of the processors that they claim, at
+/// the height of their load.
 constexpr double kServingUse = 0.6;
-constexpr double kMilli = 1'000;
 constexpr double kNotHere = std::numeric_limits<double>::lowest();
 /// Run numbers of one task within one planner's epoch.
 constexpr uint64_t kRunsPerEpoch = 1'000;
@@ -40,18 +35,12 @@
   int64_t filler_cpu = 0;
 };
 
-/// What a job can still earn.
-enum class JobHope : uint8_t { kOnTime, kLate, kNone };
-
 /// Idle tasks of one step.
 struct Candidate {
   JobEntity* job = nullptr;
   uint32_t occurrence = 0;
   uint32_t step = 0;
-  JobHope hope = JobHope::kOnTime;
-  /// Declared processor time of its tasks that are not done, in ms.
-  double work_left = 0;
-  MonotonicTime late_at{};
+  JobRank rank;
 };
 
 std::vector<Slot> MakeSlots(Board& board, MonotonicTime now) {
@@ -83,50 +72,6 @@
   return out;
 }
 
-bool IsStepDone(const StepEntity& step) {
-  return step.done == step.tasks.size();
-}
-
-/// @return declared processor time of the tasks that are not done, in ms; 0
-/// for jobs that last.
-double WorkLeft(const JobEntity& job, const OccurrenceEntity& occurrence) {
-  double sum = 0;
-  for (size_t i = 0; i < occurrence.steps.size(); ++i) {
-    const StepSpec& spec = job.record.spec.steps[i];
-    const StepEntity& step = occurrence.steps[i];
-    const auto left = static_cast<double>(step.tasks.size() - step.done);
-    sum += left * static_cast<double>(spec.each.cpu.value) *
-           static_cast<double>(spec.estimate_ms) / kMilli;
-  }
-  return sum;
-}
-
-/// @return the longest chain of declared run times that is not done.
-Duration ChainLeft(const JobEntity& job, const OccurrenceEntity& occurrence) {
-  const auto& steps = job.record.spec.steps;
-  std::vector<int64_t> finish(steps.size(), 0);
-  int64_t longest = 0;
-  for (size_t i = 0; i < steps.size(); ++i) {
-    for (const uint32_t before : steps[i].after) {
-      finish[i] = std::max(finish[i], finish[before]);
-    }
-    if (!IsStepDone(occurrence.steps[i])) finish[i] += steps[i].estimate_ms;
-    longest = std::max(longest, finish[i]);
-  }
-  return Duration(longest);
-}
-
-JobHope HopeOf(const JobEntity& job, const OccurrenceEntity& occurrence,
-               MonotonicTime now) {
-  const MonotonicTime late_at = occurrence.due_at + job.objective;
-  if (now > occurrence.due_at + job.objective * kUselessAfter) {
-    return JobHope::kNone;
-  }
-  // Estimates are off by half either way, so half of the chain may do.
-  const MonotonicTime earliest = now + ChainLeft(job, occurrence) / 2;
-  return earliest <= late_at ? JobHope::kOnTime : JobHope::kLate;
-}
-
 std::vector<Candidate> MakeCandidates(Board& board, MonotonicTime now) {
   std::vector<Candidate> out;
   const bool recovering = IsRecovering(board, now);
@@ -145,17 +90,13 @@
         it.job = &job;
         it.occurrence = number;
         it.step = i;
-        it.late_at = occurrence.due_at + job.objective;
-        it.hope = HopeOf(job, occurrence, now);
-        it.work_left = WorkLeft(job, occurrence);
+        it.rank = RankOf(job, occurrence, now);
         out.push_back(it);
       }
     }
   }
-  std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
-    return std::tuple(a.job->terms.priority, a.hope, a.work_left, a.late_at) <
-           std::tuple(b.job->terms.priority, b.hope, b.work_left, b.late_at);
-  });
+  std::sort(out.begin(), out.end(),
+            [](const auto& a, const auto& b) { return a.rank < b.rank; });
   return out;
 }
 
@@ -293,6 +234,8 @@
   run.filler = step.filler;
   run.known = true;
   vm.runs[key] = run;
+  // A filler starts at the speed that suits it.
+  vm.next_pace_at = now;
 }
 
 void PlaceSingles(Board& board, MonotonicTime now, const Candidate& candidate,
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -20,9 +20,6 @@
 constexpr Duration kSetAside{4'000};
 /// How long a lasting task waits before it is started again.
 constexpr Duration kLastingPause{50};
-/// Share of a new measure in a VM's smoothed residual.
-constexpr double kResidualStep = 0.3;
-constexpr double kMilli = 1'000;
 
 JobEntity* FindJob(Board& board, const JobId& id) {
   const auto it = board.jobs.find(id);
@@ -184,26 +181,6 @@
   TakeTaskEnd(board, now, *job, end.task, *task, vm, end, log);
 }
 
-/// Learns from the tail latency of a serving task what disturbs it.
-void LearnFrom(Board& board, VmEntity& vm, const StepSpec& serving,
-               const VmRun& run) {
-  if (run.measure <= 0 || run.phase != RunPhase::kRunning) return;
-  std::vector<FillerUse> fillers;
-  double predicted = BaseOf(board.interference, serving.image);
-  for (const auto& [key, it] : vm.runs) {
-    const StepSpec* step = it.filler ? FindStep(board, key) : nullptr;
-    if (step == nullptr || it.measure <= 0) continue;
-    const double processors = static_cast<double>(it.measure) / kMilli;
-    fillers.push_back({step->image, processors});
-    predicted +=
-        SlopeOf(board.interference, step->image, serving.image) * processors;
-  }
-  const double share = static_cast<double>(run.measure) /
-                       static_cast<double>(serving.tail_target_ms);
-  vm.residual += kResidualStep * (std::log(share) - predicted - vm.residual);
-  Learn(board.interference, serving.image, share, fillers);
-}
-
 /// Takes a reported run for the task's present one, or stops it.
 void TakeRun(Board& board, MonotonicTime now, VmEntity& vm,
              const RunReport& report, Decisions& log) {
@@ -229,7 +206,6 @@
     const bool over = run.measure > step->tail_target_ms;
     if (!over) run.over_since = {};
     if (over && run.over_since == MonotonicTime{}) run.over_since = now;
-    LearnFrom(board, vm, *step, run);
   }
   JobEntity* job = FindJob(board, report.task.job);
   TaskEntity* task = FindTask(board, report.task);
@@ -334,6 +310,7 @@
   }
   for (const RunReport& run : report.runs) TakeRun(board, now, vm, run, log);
   DropMissing(board, now, vm, report);
+  LearnFromReport(board, now, vm, report);
   vm.seen_version = report.version;
   TakeRecorded(board, board.recorded_change);
   vm.unaccounted = false;
--- /dev/null
+++ b/source/sched/room.cc
@@ -0,0 +1,80 @@
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <vector>
+
+#include "sched/board.h"
+#include "sched/detail.h"
+
+// Load pattern: fillers that harm do so in bursts of a few seconds, which
+// saturate the queues beside them before any measure shows it; a burst costs
+// each of these a second of backlog more. So harm is avoided by where fillers
+// go, judged by what their image has done before, not by slowing them down.
+
+namespace almondtally::sched {
+namespace {
+
+/// Share of a latency target that placing plans for at a job's mean load: the
+/// height of its load adds half as much again, and weights are averages over
+/// bursts.
+constexpr double kPlannedShare = 0.5;
+/// A weight below this is within what evidence can tell from nothing.
+constexpr double kHarmless = 1.5;
+
+/// A serving task's image, and the rise of its log tail that it still bears.
+struct Serving {
+  std::string image;
+  double room = 0;
+};
+
+std::vector<Serving> ServingOn(const Board& board, const VmEntity& vm) {
+  std::vector<Serving> out;
+  for (const auto& [key, run] : vm.runs) {
+    const StepSpec* step = FindStep(board, key);
+    if (step == nullptr || step->tail_target_ms == 0) continue;
+    const auto load = board.loads.find(key.job);
+    const double log_tail =
+        load == board.loads.end() ? JobLoad::kFirst : load->second.mean;
+    out.push_back({step->image, std::log(kPlannedShare) - log_tail});
+  }
+  return out;
+}
+
+double ShareOf(const VmEntity& vm, const StepSpec& step) {
+  return static_cast<double>(step.each.cpu.value) /
+         static_cast<double>(
+             std::max<int64_t>(1, vm.worker.capacity.cpu.value));
+}
+
+}  // namespace
+
+double AllowedShare(const Board& board, const VmEntity& vm,
+                    const StepSpec& filler, const TaskKey& key) {
+  auto serving = ServingOn(board, vm);
+  for (const auto& [other, run] : vm.runs) {
+    const StepSpec* step =
+        run.filler && other != key ? FindStep(board, other) : nullptr;
+    if (step == nullptr || run.pace_wanted == 0) continue;
+    for (Serving& it : serving) {
+      it.room -= WeightOf(board.interference, step->image, it.image) *
+                 ShareOf(vm, *step);
+    }
+  }
+  double least = 1;
+  for (const Serving& it : serving) {
+    const double weight = WeightOf(board.interference, filler.image, it.image);
+    if (weight < kHarmless) continue;
+    const double rise = weight * ShareOf(vm, filler);
+    least = std::min(least, std::max(0.0, it.room) / rise);
+  }
+  return least;
+}
+
+bool MayHarm(const Board& board, const VmEntity& vm, const StepSpec& filler) {
+  const auto serving = ServingOn(board, vm);
+  return std::any_of(serving.begin(), serving.end(), [&](const auto& it) {
+    return WeightOf(board.interference, filler.image, it.image) >= kHarmless;
+  });
+}
+
+}  // namespace almondtally::sched
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -358,5 +358,16 @@
   CHECK(TakeStops(table, later).size() == 1);
 }
 
+TEST_CASE("a run that starts with a speed limit is limited at once") {
+  RunTable table = Ready();
+  StartOrder start = Start(kTask, 1);
+  start.pace = 0;
+  Order(table, {start});
+  TakeStarted(table, kNow, TakeStarts(table, kNow)[0], {});
+  const auto paces = TakePaces(table, kNow);
+  REQUIRE(paces.size() == 1);
+  CHECK(paces[0].percent == 0);
+}
+
 }  // namespace
 }  // namespace almondtally::sched
