An entry that drains goes on reading who plans

Ruled out: the new planner (other entries passed calls on to it at once), the store (answered all the while).

Change: ReadHead runs while retiring; only taking over is left out.

Test: "an entry that drains still learns who plans", fails on the code before.

--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -32,7 +32,8 @@
 }
 
 void Planner::ReadHead() {
-  if (planning_ || loading_ || retiring_ || watch_.reading) {
+  // A process that retires goes on reading: its callers need the next planner.
+  if (planning_ || loading_ || watch_.reading) {
     watch_.since = loop_.now();
     return;
   }
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -226,6 +226,29 @@
   CHECK(answers.all[1].state == JobState::kRunning);
 }
 
+// Trace: maraval inc-4a2b. A draining entry refused its callers for 4 s, since
+// the next planner was at an address that it had never heard.
+TEST_CASE("an entry that drains still learns who plans") {
+  World world;
+  Entry a(world, "a", kFirst);
+  world.Advance(Duration(1'000));
+  Answers answers;
+  a.gateway.Call(Submit("j"), kPatience, answers.Fn());
+  world.Advance(Duration(300));
+  a.planner.Retire();
+  world.Advance(Duration(500));
+  Entry b(world, "b", kSecond);
+  world.Advance(Duration(2'500));
+  REQUIRE(b.planner.planning());
+  CHECK_FALSE(a.planner.planning());
+  JobCall read;
+  read.job = JobId("j");
+  a.gateway.Call(read, kPatience, answers.Fn());
+  world.Advance(Duration(300));
+  REQUIRE(answers.all.size() == 2);
+  CHECK(answers.all[1].state == JobState::kRunning);
+}
+
 TEST_CASE("an agent that restarts goes on where it was") {
   World world;
   Entry a(world, "a", kFirst);
