keyed_test waits for both VMs before it creates its service

Executors are placed on the VMs that are known when the service is created, and the test created it as soon as the entries answered. Shown by a run with the second target paused until after the service was created: the same output, line for line.

Its log files are empty, so the failed run itself was not read off a trace.

Change: the test waits for both VMs first. Every check of it stays.

--- a/tests/system/keyed_test.py
+++ b/tests/system/keyed_test.py
@@ -37,6 +37,8 @@
     try:
         cluster.wait_until("entries", lambda: all(
             call(p, "GET", "/readyz")[0] == 200 for p in cluster.entry_ports))
+        # A service is placed on the VMs that are known when it is created.
+        cluster.wait_ready()
         cluster.put_config("team/t", {"quota": {"cpu": 10**6,
                                                 "memory": 10**6}})
         cluster.put_config("service/sorteggio", {
