Reject jobs whose size would stop the planner, and deny no job unproven

(1) A job of 64 steps of 10,000 tasks was accepted: its progress row is larger than the store takes, so every later commit of the shard fails, and its tables fill an entry's memory, one entry after the other. (2) A planner that was cut off or paused answered 410 for jobs that its successor had accepted, until an agent told it of the newer epoch. Change: bounds on every number of a job, a bound on the size of its rows, 'no such job' only within 1.3 s of a proof of ownership, and the silence of a VM is counted from its listing.

--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -47,6 +47,7 @@
   vm.data_centre = agent->data_centre;
   vm.row_version = row.version;
   if (!is_new) return;
+  vm.listed_at = loop_.now();
   Log(Event::kVmListed, {{"vm", id.value}, {"agent", agent->address}});
   poll_generations_[id] = ++last_poll_generation_;
   Poll(id);
@@ -190,7 +191,7 @@
   for (auto it = board_.vms.begin(); it != board_.vms.end();) {
     VmEntity& vm = it->second;
     const MonotonicTime last_heard_at =
-        std::max(vm.last_report_at, board_.took_over_at);
+        std::max(vm.last_report_at, vm.listed_at);
     if (vm.synced || now - last_heard_at < kSilentVmTimeout) {
       ++it;
       continue;
--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -15,9 +15,6 @@
 
 /// How often processes that are not planning read the head row.
 constexpr Duration kHeadReadInterval{400};
-/// The owner is considered lost if successful reads show an unchanged head row
-/// for this long: three heartbeats.
-constexpr Duration kOwnerTimeout{1'300};
 /// Minimum time between attempts to take over from a planner that cannot reach
 /// the store.
 constexpr Duration kTakeOverRequestInterval{100};
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -1,5 +1,6 @@
 #include "planner/planner.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -16,6 +17,9 @@
 constexpr Duration kTickInterval{50};
 /// Changes that arrive within this time are planned together.
 constexpr Duration kPlanningDelay{1};
+/// The pause before a planning pass, in durations of the previous one. Leaves
+/// most of the processor to requests and reports when a pass takes long.
+constexpr int64_t kPlanningPauseFactor = 2;
 /// A commit that is unanswered for this long means that the store is too slow
 /// to accept new jobs; they are refused until the commit succeeds.
 constexpr Duration kSlowCommitThreshold{1'200};
@@ -109,16 +113,28 @@
   record.terms = call.terms;
   record.accepted_at_ms =
       board_.unix_offset_ms + loop_.now().time_since_epoch().count();
+  if (!ValidateRowSizes(record, why)) {
+    return fn(MakeAnswer(JobVerdict::kRejected, why.text));
+  }
   AddJob(board_, loop_.now(), record);
   pending_submissions_[call.spec.id].push_back(std::move(fn));
   CommitPending();
 }
 
+JobAnswer Planner::AnswerUnknownJob() const {
+  if (loop_.now() - ownership_proven_at_ < kOwnerTimeout) {
+    return MakeAnswer(JobVerdict::kUnknownJob);
+  }
+  JobAnswer answer =
+      MakeAnswer(JobVerdict::kUnavailable, "ownership of the shard unproven");
+  answer.store_away = true;
+  answer.owner_epoch = board_.epoch;
+  return answer;
+}
+
 void Planner::Cancel(const JobCall& call, AnswerFn fn) {
   const auto it = board_.jobs.find(call.job);
-  if (it == board_.jobs.end()) {
-    return fn(MakeAnswer(JobVerdict::kUnknownJob));
-  }
+  if (it == board_.jobs.end()) return fn(AnswerUnknownJob());
   if (IsFinal(it->second.recorded)) return fn(MakeAnswer(JobVerdict::kOk));
   CancelJob(board_, loop_.now(), it->second);
   Log(Event::kJobCancelled,
@@ -132,7 +148,7 @@
 void Planner::Read(const JobCall& call, const AnswerFn& fn) {
   const auto it = board_.jobs.find(call.job);
   if (it == board_.jobs.end() || !it->second.accepted) {
-    return fn(MakeAnswer(JobVerdict::kUnknownJob));
+    return fn(AnswerUnknownJob());
   }
   JobAnswer answer = MakeAnswer(JobVerdict::kOk);
   answer.state = VisibleState(it->second);
@@ -151,7 +167,9 @@
 void Planner::SchedulePlanning() {
   if (planning_scheduled_) return;
   planning_scheduled_ = true;
-  loop_.RunAfter(kPlanningDelay, [this] {
+  const Duration delay =
+      std::max(kPlanningDelay, kPlanningPauseFactor * last_pass_duration_);
+  loop_.RunAfter(delay, [this] {
     planning_scheduled_ = false;
     RunPlanningPass();
   });
@@ -168,6 +186,8 @@
   LogDecisions(log);
   SendOrders();
   CommitPending();
+  last_pass_duration_ = loop_.now() - now;
+  metrics_.ObservePlanningPass(last_pass_duration_);
 }
 
 void Planner::Tick() {
--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -94,6 +94,10 @@
   void Submit(const JobCall& call, AnswerFn fn);
   void Cancel(const JobCall& call, AnswerFn fn);
   void Read(const JobCall& call, const AnswerFn& fn);
+  /// @return that the job does not exist, or, if this process may have been
+  /// replaced without knowing, that it cannot tell: its successor may have
+  /// accepted the job.
+  JobAnswer AnswerUnknownJob() const;
 
   // Agents.
   void ApplyAgentRow(const StoreRow& row);
@@ -140,6 +144,7 @@
   std::map<QueueId, QueueTerms> queues_;
 
   bool planning_scheduled_ = false;
+  Duration last_pass_duration_{};
   /// Submitted jobs whose records are not stored yet, with the callers that
   /// wait for the outcome.
   std::map<JobId, std::vector<AnswerFn>> pending_submissions_;
--- a/source/sched/job.cc
+++ b/source/sched/job.cc
@@ -1,11 +1,25 @@
 #include "sched/job.h"
 
+#include <algorithm>
+
 namespace almondtally::sched {
 namespace {
 
 constexpr size_t kMaxSteps = 64;
 constexpr uint32_t kMaxTasksPerStep = 10'000;
 constexpr uint32_t kMaxOccurrences = 100'000;
+/// Bounds that keep sums over the tasks of all jobs within 64 bits: a million
+/// processors, a PiB of memory, a million accelerators, 30 days.
+constexpr Resources kMaxTaskSize{
+    MilliCpu(1'000'000'000), Mebibytes(1'073'741'824), Accelerators(1'000'000)};
+constexpr int64_t kMaxEstimateMs = 30LL * 24 * 3'600 * 1'000;
+/// Largest distance between Unix time 0 and an occurrence: 1,000 years.
+constexpr int64_t kMaxUnixMs = 1'000LL * 366 * 24 * 3'600 * 1'000;
+/// Upper bounds of the encoded size of parts of a progress row, in bytes.
+constexpr size_t kProgressRowBytes = 64;
+constexpr size_t kProgressBytesPerStep = 64;
+constexpr size_t kProgressBytesPerFailedTask = 8;
+constexpr size_t kProgressBytesPerFailure = 9;
 
 bool ValidateStep(const JobSpec& spec, size_t i, JobReason& why) {
   const StepSpec& step = spec.steps[i];
@@ -20,6 +34,15 @@
     why.Set(JobError::kBadValue, name + ": resources must not be negative");
     return false;
   }
+  if (!Fits(step.each, kMaxTaskSize)) {
+    why.Set(JobError::kBadValue, name + ": resources are larger than any VM");
+    return false;
+  }
+  if (step.estimate_ms < 0 || step.estimate_ms > kMaxEstimateMs) {
+    why.Set(JobError::kBadValue, name + ": run time must be from 0 to " +
+                                     std::to_string(kMaxEstimateMs) + " ms");
+    return false;
+  }
   for (const uint32_t predecessor : step.after) {
     if (predecessor < i) continue;
     why.Set(JobError::kBadValue, name +
@@ -63,7 +86,9 @@
             "a job has 1 to " + std::to_string(kMaxSteps) + " steps");
     return false;
   }
-  if (spec.occurrences > kMaxOccurrences || spec.period_ms < 0) {
+  if (spec.occurrences > kMaxOccurrences || spec.period_ms < 0 ||
+      spec.period_ms > kMaxUnixMs || spec.first_due_ms < -kMaxUnixMs ||
+      spec.first_due_ms > kMaxUnixMs) {
     why.Set(JobError::kBadValue, "bad schedule");
     return false;
   }
@@ -73,4 +98,27 @@
   return true;
 }
 
+bool ValidateRowSizes(const JobRecord& record, JobReason& why) {
+  const JobSpec& spec = record.spec;
+  size_t tasks = 0;
+  for (const StepSpec& step : spec.steps) tasks += step.count;
+  const size_t bytes_per_occurrence =
+      tasks + spec.steps.size() * kProgressBytesPerStep;
+  const size_t bytes_per_task =
+      kProgressBytesPerFailedTask +
+      kProgressBytesPerFailure *
+          std::max<uint32_t>(1, record.terms.max_attempts);
+  const size_t progress = kProgressRowBytes +
+                          spec.occurrence_count() * bytes_per_occurrence +
+                          tasks * bytes_per_task;
+  if (progress > kMaxRowBytes || EncodeRow(record).size() > kMaxRowBytes) {
+    why.Set(JobError::kBadValue,
+            "the job is too large: " + std::to_string(tasks) + " tasks in " +
+                std::to_string(spec.steps.size()) + " steps, " +
+                std::to_string(spec.occurrence_count()) + " occurrences");
+    return false;
+  }
+  return true;
+}
+
 }  // namespace almondtally::sched
--- a/source/sched/job.h
+++ b/source/sched/job.h
@@ -207,6 +207,14 @@
 /// @param why receives the invalid field if the job is invalid.
 bool ValidateJob(const JobSpec& spec, JobReason& why);
 
+/// Largest value of a row that the store accepts, in bytes: 64 KiB of base64.
+inline constexpr size_t kMaxRowBytes = 48 * 1'024;
+
+/// Checks that the rows of a job fit into the store whatever its progress,
+/// since one row that is too large makes the commits of all jobs fail.
+/// @param why receives the reason if they do not.
+bool ValidateRowSizes(const JobRecord& record, JobReason& why);
+
 /// @return the row, encoded as CBOR.
 template <typename T>
 std::string EncodeRow(const T& row) {
--- a/tests/planner/memory_store.h
+++ b/tests/planner/memory_store.h
@@ -21,6 +21,8 @@
   /// is called.
   bool hold_commits = false;
   std::vector<StoreTransaction> held;
+  /// Pending reads of change feeds, by table.
+  std::map<std::string, Store::FeedFn> watchers;
 
   StoreCommitResult Apply(const StoreTransaction& tx) {
     StoreCommitResult out;
@@ -71,9 +73,21 @@
       }
       fn(std::move(found), {});
     };
-    out.changes = [](const std::string&, RowVersion, Duration, const auto&) {};
+    out.changes = [this](const std::string& table, RowVersion, Duration,
+                         const auto& fn) { watchers[table] = fn; };
     return out;
   }
+
+  /// Delivers rows to the latest reader of a table's change feed.
+  void Feed(const std::string& table, std::vector<StoreRow> changed) {
+    const auto watcher = watchers.find(table);
+    if (watcher == watchers.end()) return;
+    const auto fn = std::exchange(watcher->second, nullptr);
+    StoreRows out;
+    out.version = RowVersion(version);
+    out.rows = std::move(changed);
+    if (fn) fn(FeedStatus::kOk, out);
+  }
 };
 
 }  // namespace almondtally::sched
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -300,6 +300,60 @@
   CHECK(cluster.agent.runs.begin()->second.stop_requested);
 }
 
+// In a day with VMs added 25 s after a takeover, 45 of them were listed and
+// removed again several times a second.
+TEST_CASE("a VM that is listed late has its full time to report") {
+  TestCluster cluster;
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(25'000));
+  REQUIRE(a.planner.planning());
+  cluster.agent_reachable = false;
+  const StoreKey at{table::kAgents, "shard-0", "new-vm"};
+  cluster.memory.Apply(
+      {{}, {{at, EncodeRow(AgentRow{"10.0.0.8:7000", {}})}}, {}});
+  cluster.memory.Feed(table::kAgents, {cluster.memory.rows.at(at)});
+  cluster.Advance(Duration(5'000));
+  CHECK(cluster.memory.rows.contains(at));
+  cluster.Advance(Duration(20'000));
+  CHECK_FALSE(cluster.memory.rows.contains(at));
+}
+
+// A planner that is cut off or paused does not hear of its replacement at once.
+// Its successor accepts jobs that it knows nothing of.
+TEST_CASE("a planner without recent proof of ownership denies no job") {
+  TestCluster cluster;
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  REQUIRE(a.planner.planning());
+  cluster.agent_reachable = false;
+  cluster.memory.next_error = PlatformError::kUnreachable;
+  cluster.Advance(Duration(2'000));
+  REQUIRE(a.planner.planning());
+  Answers answers;
+  JobCall call;
+  call.job = JobId("accepted-by-the-next-planner");
+  SUBCASE("read") { call.verb = JobVerb::kRead; }
+  SUBCASE("cancel") { call.verb = JobVerb::kCancel; }
+  a.planner.Handle(call, answers.Fn());
+  REQUIRE(answers.all.size() == 1);
+  CHECK(answers.all[0].verdict == JobVerdict::kUnavailable);
+  CHECK(answers.all[0].store_away);
+}
+
+TEST_CASE("a job that is too large for the store is rejected at once") {
+  TestCluster cluster;
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  JobCall large = Submit("large");
+  large.spec.steps.assign(64, large.spec.steps[0]);
+  for (StepSpec& step : large.spec.steps) step.count = 10'000;
+  Answers answers;
+  a.gateway.Call(large, kCallTimeout, answers.Fn());
+  REQUIRE(answers.all.size() == 1);
+  CHECK(answers.all[0].verdict == JobVerdict::kRejected);
+  CHECK(answers.all[0].retry_after_ms == 0);
+}
+
 TEST_CASE("reading a job that does not exist returns kUnknownJob") {
   TestCluster cluster;
   Entry a(cluster, "a", kFirst);
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -141,6 +141,24 @@
   }
 }
 
+// A count that is cut to 32 bits would turn into another, valid count.
+TEST_CASE("numbers out of range are rejected instead of being truncated") {
+  for (const char* steps : {R"([{"count":4294967297}])", R"([{"count":-1}])",
+                            R"([{"count":1e300}])",
+                            R"([{"count":1},{"count":1,"after":[4294967296]}])",
+                            R"([{"count":1},{"count":1,"after":[-1]}])"}) {
+    RequestError error;
+    const auto request = Decode({"POST",
+                                 std::string("/a/") + kJob,
+                                 {},
+                                 R"({"steps":)" + std::string(steps) + "}"},
+                                error);
+    REQUIRE(request);
+    sched::JobReason why;
+    CHECK_FALSE(sched::ValidateJob(request->call.spec, why));
+  }
+}
+
 TEST_CASE("base64 encoding and decoding preserve the bytes") {
   for (const std::string& bytes :
        {std::string(), std::string("a"), std::string("ab"), std::string("abc"),
