Planning passes that grow with the VMs, not with VMs times waiting steps

A pass looked at all VMs for every waiting step, twice at the job's spec of every run, and at all jobs that ended within two minutes.

--- a/source/metrics/metrics.cc
+++ b/source/metrics/metrics.cc
@@ -8,6 +8,8 @@
 const prometheus::Histogram::BucketBoundaries kLatencySeconds = {
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
 
+constexpr double kMillisPerSecond = 1'000.0;
+
 }  // namespace
 
 Metrics::Metrics()
@@ -17,6 +19,12 @@
                    .Help("time from a caller's request to the end of its "
                          "answer")
                    .Register(*registry_)),
+      planning_pass_(prometheus::BuildHistogram()
+                         .Name("almondtally_planning_pass_seconds")
+                         .Help("time for which a planning pass held the event "
+                               "loop")
+                         .Register(*registry_)
+                         .Add({}, kLatencySeconds)),
       requests_(prometheus::BuildCounter()
                     .Name("almondtally_requests_total")
                     .Help("callers' requests by service and outcome")
@@ -37,7 +45,6 @@
 void Metrics::CountRequest(const std::string& service,
                            const std::string& outcome, Duration latency) {
   requests_.Add({{"service", service}, {"outcome", outcome}}).Increment();
-  constexpr double kMillisPerSecond = 1'000.0;
   latency_.Add({{"service", service}}, kLatencySeconds)
       .Observe(static_cast<double>(latency.count()) / kMillisPerSecond);
 }
@@ -56,6 +63,11 @@
   events_.Add({{"event", event}}).Increment();
 }
 
+void Metrics::ObservePlanningPass(Duration duration) {
+  planning_pass_.Observe(static_cast<double>(duration.count()) /
+                         kMillisPerSecond);
+}
+
 void Metrics::SetGauge(const std::string& name, double value) {
   gauges_.Add({{"name", name}}).Set(value);
 }
--- a/source/metrics/metrics.h
+++ b/source/metrics/metrics.h
@@ -26,6 +26,9 @@
   void CountBadInput();
   void CountTaskEvent(const std::string& event);
 
+  /// Records how long a planning pass held the event loop.
+  void ObservePlanningPass(Duration duration);
+
   void SetGauge(const std::string& name, double value);
 
   /// @return all metrics in the Prometheus text format.
@@ -34,6 +37,7 @@
  private:
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Histogram>& latency_;
+  prometheus::Histogram& planning_pass_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& refusals_;
   prometheus::Family<prometheus::Counter>& events_;
--- a/source/sched/detail.h
+++ b/source/sched/detail.h
@@ -10,18 +10,12 @@
                       MonotonicTime now);
 
 /// @return the CPU use of the fillers on a VM, as last measured.
-std::vector<FillerUse> MeasuredFillerUse(const ShardState& shard,
-                                         const VmEntity& vm);
+std::vector<FillerUse> MeasuredFillerUse(const VmEntity& vm);
 
 /// Updates the load and interference models from the measurements in a report.
 void UpdateModelsFromReport(ShardState& shard, MonotonicTime now, VmEntity& vm,
                             const SyncReport& report);
 
-/// @return true if the interference model expects fillers of this image to
-/// raise the tail latency of a serving task on the VM noticeably.
-bool MayInterfere(const ShardState& shard, const VmEntity& vm,
-                  const StepSpec& filler);
-
 /// Ends a job: its tasks are no longer placed, and its runs are stopped.
 void EndJob(ShardState& shard, MonotonicTime now, JobEntity& job,
             JobState state);
--- a/source/sched/learn.cc
+++ b/source/sched/learn.cc
@@ -61,31 +61,28 @@
 
 }  // namespace
 
-std::vector<FillerUse> MeasuredFillerUse(const ShardState& shard,
-                                         const VmEntity& vm) {
+std::vector<FillerUse> MeasuredFillerUse(const VmEntity& vm) {
   std::vector<FillerUse> out;
   const auto vm_cpu =
       static_cast<double>(std::max<int64_t>(1, vm.worker.capacity.cpu.value));
   for (const auto& [key, run] : vm.runs) {
-    const StepSpec* step = run.filler ? FindStep(shard, key) : nullptr;
-    if (step == nullptr || run.measurement <= 0) continue;
-    out.push_back({step->image, static_cast<double>(run.measurement) / vm_cpu});
+    if (!run.filler || run.measurement <= 0) continue;
+    out.push_back({run.image, static_cast<double>(run.measurement) / vm_cpu});
   }
   return out;
 }
 
 void UpdateModelsFromReport(ShardState& shard, MonotonicTime now, VmEntity& vm,
                             const SyncReport& report) {
-  const auto fillers = MeasuredFillerUse(shard, vm);
+  const auto fillers = MeasuredFillerUse(vm);
   const double change = UpdateFillerUses(vm, fillers);
   for (const RunReport& it : report.runs) {
-    const StepSpec* step = FindStep(shard, it.task);
     const auto found = vm.runs.find(it.task);
-    if (step == nullptr || step->tail_target_ms == 0) continue;
-    if (found == vm.runs.end() || !IsMeasured(found->second, now)) continue;
+    if (found == vm.runs.end()) continue;
     VmRun& run = found->second;
+    if (run.tail_target_ms == 0 || !IsMeasured(run, now)) continue;
     const double tail = static_cast<double>(run.measurement) /
-                        static_cast<double>(step->tail_target_ms);
+                        static_cast<double>(run.tail_target_ms);
     JobLoad& load = shard.loads[it.task.job];
     RecordTargetResult(load, tail > 1);
     const bool backlog_shrinks =
@@ -94,13 +91,13 @@
     // A shrinking backlog says nothing about the current load.
     if (backlog_shrinks) continue;
     const double log_tail = std::log(std::min(tail, kBacklogRatio));
-    const double rise = ExpectedRise(shard.interference, step->image, fillers);
+    const double rise = ExpectedRise(shard.interference, run.image, fillers);
     const MonotonicTime at = now - kMeasurementAge;
     if (!load.samples.empty()) {
       const double observed_rise = log_tail - PredictLogTail(load, at);
       const bool backlog = tail > kBacklogRatio;
       if (!(backlog && observed_rise < rise)) {
-        UpdateInterference(shard.interference, step->image, observed_rise,
+        UpdateInterference(shard.interference, run.image, observed_rise,
                            kLogTailNoise + kFillerChangeNoise * change,
                            fillers);
       }
--- a/source/sched/pace.cc
+++ b/source/sched/pace.cc
@@ -2,7 +2,7 @@
 #include <string>
 #include <vector>
 
-#include "sched/detail.h"
+#include "sched/room.h"
 #include "sched/shard_state.h"
 
 // Load pattern: the tail latency of lasting tasks varies with user load, and
@@ -60,14 +60,16 @@
     if (!vm.synced || now < vm.next_pace_at) continue;
     vm.next_pace_at = now + kSpeedLimitInterval;
     const PauseScope scope = ChoosePauseScope(shard, vm, now);
+    const auto serving = scope == PauseScope::kSuspects
+                             ? ListServingTasks(shard, vm, std::nullopt)
+                             : std::vector<ServingTask>();
     int64_t changed = 0;
     int64_t paused = 0;
     for (auto& [key, run] : vm.runs) {
-      const StepSpec* step = run.filler ? FindStep(shard, key) : nullptr;
-      if (step == nullptr) continue;
-      const bool pause =
-          scope == PauseScope::kAll ||
-          (scope == PauseScope::kSuspects && MayInterfere(shard, vm, *step));
+      if (!run.filler) continue;
+      const bool pause = scope == PauseScope::kAll ||
+                         (scope == PauseScope::kSuspects &&
+                          MayInterfere(shard, run.image, serving));
       const int64_t pace = pause ? 0 : kFullSpeed;
       if (pace != run.speed_limit_wanted) ++changed;
       if (pause) ++paused;
@@ -102,7 +104,9 @@
       free.memory -= run.size.memory;
     }
     return free_cpu >= step.each.cpu.value && free.memory >= step.each.memory &&
-           AllowedFillerSpeed(shard, vm, step, key) >= kNearlyFullSpeed;
+           AllowedFillerSpeed(shard, vm, step,
+                              ListServingTasks(shard, vm, key)) >=
+               kNearlyFullSpeed;
   });
 }
 
@@ -115,6 +119,7 @@
     if (!vm.synced) continue;
     for (auto& [key, run] : vm.runs) {
       if (run.stop_wanted || run.phase != RunPhase::kRunning) continue;
+      if (!vm.worker.draining && run.paused_since == MonotonicTime{}) continue;
       const StepSpec* step = FindStep(shard, key);
       if (step == nullptr || step->gang) continue;
       if (!vm.worker.draining) {
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -1,9 +1,11 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "sched/rank.h"
+#include "sched/room.h"
 #include "sched/shard_state.h"
 
 // Load pattern: lasting tasks that serve users occupy most of every VM. Fillers
@@ -38,6 +40,26 @@
   int64_t idle_cpu = 0;
   /// CPU that the fillers on the VM ask for.
   int64_t filler_cpu = 0;
+  /// The VM's serving tasks; empty until they are needed.
+  std::optional<std::vector<ServingTask>> serving;
+};
+
+/// A request that no VM could satisfy in this pass.
+struct UnmetRequest {
+  ServiceId service;
+  std::string required_label;
+  bool filler = false;
+  Resources each;
+  /// Set if some VM had room but its serving tasks ruled the image out.
+  std::optional<std::string> image;
+};
+
+/// Candidates of one planning pass, and the requests that they cannot satisfy.
+/// With many steps waiting for the same resources, only the first of them
+/// searches all VMs.
+struct PlacementPass {
+  std::vector<CandidateVm> candidates;
+  std::vector<UnmetRequest> unmet;
 };
 
 /// A ready step that has idle tasks.
@@ -67,9 +89,7 @@
         size.cpu = MilliCpu(0);
       }
       candidate.free -= size;
-      const StepSpec* step = FindStep(shard, task);
-      const bool serves = step != nullptr && step->tail_target_ms > 0;
-      const double used = serves ? kServingCpuUse : 1;
+      const double used = run.tail_target_ms > 0 ? kServingCpuUse : 1;
       candidate.idle_cpu -=
           static_cast<int64_t>(static_cast<double>(size.cpu.value) * used);
     }
@@ -81,8 +101,9 @@
 std::vector<ReadyStep> ListReadySteps(ShardState& shard, MonotonicTime now) {
   std::vector<ReadyStep> out;
   const bool recovering = IsRecovering(shard, now);
-  for (auto& [id, job] : shard.jobs) {
-    if (!job.accepted || IsFinal(job.state)) continue;
+  for (const JobId& id : shard.open_jobs) {
+    JobEntity& job = shard.jobs.at(id);
+    if (!job.accepted) continue;
     if (recovering && job.loaded_from_store) continue;
     for (auto& [number, occurrence] : job.occurrences) {
       for (uint32_t i = 0; i < occurrence.steps.size(); ++i) {
@@ -120,8 +141,22 @@
   return n;
 }
 
+/// @return the share of full speed that the idle CPU of a VM allows a filler.
+double SpeedOnIdleCpu(const CandidateVm& candidate, const StepSpec& step) {
+  const auto wanted =
+      static_cast<double>(std::max<int64_t>(1, step.each.cpu.value));
+  const auto idle =
+      static_cast<double>(candidate.idle_cpu - candidate.filler_cpu);
+  return std::clamp(idle / wanted, 0.0, 1.0);
+}
+
 bool IsEligible(const CandidateVm& candidate, const QueueTerms& terms,
                 const StepSpec& step, const TaskKey& key) {
+  Resources need = step.each;
+  if (step.filler) need.cpu = MilliCpu(0);
+  if (!Fits(need, candidate.free)) return false;
+  if (step.filler && SpeedOnIdleCpu(candidate, step) < kMinFillerSpeed)
+    return false;
   const WorkerReport& worker = candidate.vm->worker;
   if (worker.service != terms.service) return false;
   const auto& labels = worker.labels;
@@ -130,28 +165,15 @@
           labels.end()) {
     return false;
   }
-  Resources need = step.each;
-  if (step.filler) need.cpu = MilliCpu(0);
-  if (!Fits(need, candidate.free)) return false;
   if (candidate.vm->runs.contains(key)) return false;
   return step.max_per_vm == 0 ||
          CountRunsOfStep(*candidate.vm, key) < step.max_per_vm;
 }
 
-/// @return the share of full speed that the idle CPU of a VM allows a filler.
-double SpeedOnIdleCpu(const CandidateVm& candidate, const StepSpec& step) {
-  const auto wanted =
-      static_cast<double>(std::max<int64_t>(1, step.each.cpu.value));
-  const auto idle =
-      static_cast<double>(candidate.idle_cpu - candidate.filler_cpu);
-  return std::clamp(idle / wanted, 0.0, 1.0);
-}
-
 /// @return the score of a VM for a task, where higher is better; kUnsuitable if
 /// the task should wait instead.
-double Score(const ShardState& shard, MonotonicTime now,
-             const CandidateVm& candidate, const StepSpec& step,
-             const TaskKey& key, const TaskEntity& task) {
+double Score(const ShardState& shard, MonotonicTime now, CandidateVm& candidate,
+             const StepSpec& step, const TaskEntity& task) {
   const auto capacity = static_cast<double>(
       std::max<int64_t>(1, candidate.vm->worker.capacity.cpu.value));
   const auto unused_cpu =
@@ -159,10 +181,11 @@
   double score = unused_cpu / capacity;
   if (step.filler) {
     // Fillers that together exceed the idle CPU only slow each other down.
-    const double speed_on_idle_cpu = SpeedOnIdleCpu(candidate, step);
-    if (speed_on_idle_cpu < kMinFillerSpeed) return kUnsuitable;
+    if (!candidate.serving)
+      candidate.serving = ListServingTasks(shard, *candidate.vm, std::nullopt);
     const double share = std::min(
-        speed_on_idle_cpu, AllowedFillerSpeed(shard, *candidate.vm, step, key));
+        SpeedOnIdleCpu(candidate, step),
+        AllowedFillerSpeed(shard, *candidate.vm, step, *candidate.serving));
     const bool may_wait = now - task.since < kMaxFillerWait;
     if (share < kMinFillerSpeed && may_wait) return kUnsuitable;
     // Prefer the highest speed, then the VM with the most idle CPU.
@@ -184,28 +207,63 @@
   return score;
 }
 
+/// @param may_wait the task may wait for a VM whose serving tasks it would not
+/// disturb.
+bool IsKnownUnmet(const PlacementPass& pass, const QueueTerms& terms,
+                  const StepSpec& step, bool may_wait) {
+  return std::any_of(
+      pass.unmet.begin(), pass.unmet.end(), [&](const UnmetRequest& it) {
+        return it.filler == step.filler && Fits(it.each, step.each) &&
+               it.service == terms.service &&
+               it.required_label == step.required_label &&
+               (!it.image || (may_wait && *it.image == step.image));
+      });
+}
+
+/// Remembers that no VM has room for a step, unless that is due to limits that
+/// apply to this step or task only.
+void RememberUnmet(PlacementPass& pass, const QueueTerms& terms,
+                   const StepSpec& step, const TaskEntity& task,
+                   bool ruled_out_by_serving) {
+  if (step.max_per_vm != 0 || !task.failed_on.empty()) return;
+  UnmetRequest unmet{terms.service, step.required_label, step.filler, step.each,
+                     std::nullopt};
+  if (ruled_out_by_serving) unmet.image = step.image;
+  pass.unmet.push_back(std::move(unmet));
+}
+
 CandidateVm* ChooseVm(const ShardState& shard, MonotonicTime now,
-                      std::vector<CandidateVm>& candidates,
-                      const QueueTerms& terms, const StepSpec& step,
-                      const TaskKey& key, const TaskEntity& task) {
+                      PlacementPass& pass, const QueueTerms& terms,
+                      const StepSpec& step, const TaskKey& key,
+                      const TaskEntity& task) {
+  const bool may_wait = now - task.since < kMaxFillerWait;
+  if (IsKnownUnmet(pass, terms, step, may_wait)) return nullptr;
   CandidateVm* best = nullptr;
   double best_score = kUnsuitable;
-  for (CandidateVm& candidate : candidates) {
+  bool ruled_out_by_serving = false;
+  for (CandidateVm& candidate : pass.candidates) {
     if (!IsEligible(candidate, terms, step, key)) continue;
-    const double score = Score(shard, now, candidate, step, key, task);
+    const double score = Score(shard, now, candidate, step, task);
+    if (score == kUnsuitable) ruled_out_by_serving = true;
     if (score <= best_score) continue;
     best = &candidate;
     best_score = score;
   }
+  if (best == nullptr)
+    RememberUnmet(pass, terms, step, task, ruled_out_by_serving);
   return best;
 }
 
-void Reserve(CandidateVm& candidate, const StepSpec& step) {
+void Reserve(const ShardState& shard, CandidateVm& candidate,
+             const StepSpec& step) {
   Resources size = step.each;
   if (step.filler) {
     candidate.filler_cpu += size.cpu.value;
     size.cpu = MilliCpu(0);
+    if (candidate.serving)
+      AddFillerLoad(shard, *candidate.vm, step, *candidate.serving);
   }
+  if (step.tail_target_ms > 0) candidate.serving.reset();
   candidate.free -= size;
   candidate.idle_cpu -= size.cpu.value;
 }
@@ -242,9 +300,7 @@
   task.since = now;
   VmRun run;
   run.run = number;
-  run.size = step.each;
-  run.filler = step.filler;
-  run.known = true;
+  SetRunSpec(run, step);
   vm.runs[key] = run;
   // Update the speed limits at once, so that a new filler starts with the right
   // one.
@@ -252,8 +308,7 @@
 }
 
 void PlaceIndependentTasks(ShardState& shard, MonotonicTime now,
-                           const ReadyStep& ready_step,
-                           std::vector<CandidateVm>& candidates,
+                           const ReadyStep& ready_step, PlacementPass& pass,
                            Decisions& log) {
   const StepSpec& spec = ready_step.job->record.spec.steps[ready_step.step];
   StepEntity& step = ready_step.job->occurrences.at(ready_step.occurrence)
@@ -263,15 +318,15 @@
   for (; key.index < step.tasks.size(); ++key.index) {
     TaskEntity& task = step.tasks[key.index];
     if (task.phase != TaskPhase::kIdle || task.not_before > now) continue;
-    CandidateVm* candidate = ChooseVm(shard, now, candidates,
-                                      ready_step.job->terms, spec, key, task);
+    CandidateVm* candidate =
+        ChooseVm(shard, now, pass, ready_step.job->terms, spec, key, task);
     if (candidate == nullptr) {
       // The other tasks of the step need the same resources, so none of them
       // fits either, unless the VMs to avoid differ.
       if (task.failed_on.empty()) return;
       continue;
     }
-    Reserve(*candidate, spec);
+    Reserve(shard, *candidate, spec);
     AssignTask(shard, now, *candidate->vm, spec, key, task,
                NextRunNumber(shard, task.run), log);
   }
@@ -311,7 +366,7 @@
           best = &candidate;
       }
       if (best == nullptr) break;
-      Reserve(*best, spec);
+      Reserve(shard, *best, spec);
       chosen.push_back(best);
     }
     if (chosen.size() < step.tasks.size()) {
@@ -334,12 +389,13 @@
 void PlaceTasks(ShardState& shard, MonotonicTime now, Decisions& log) {
   const auto ready_steps = ListReadySteps(shard, now);
   if (ready_steps.empty()) return;
-  auto candidates = ListCandidateVms(shard, now);
+  PlacementPass pass;
+  pass.candidates = ListCandidateVms(shard, now);
   for (const ReadyStep& it : ready_steps) {
     if (it.job->record.spec.steps[it.step].gang) {
-      PlaceGang(shard, now, it, candidates, log);
+      PlaceGang(shard, now, it, pass.candidates, log);
     } else {
-      PlaceIndependentTasks(shard, now, it, candidates, log);
+      PlaceIndependentTasks(shard, now, it, pass, log);
     }
   }
 }
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -56,12 +56,13 @@
   EndJob(shard, now, job, JobState::kCompleted);
 }
 
+/// @param others_may_run the task may have runs on other VMs.
 void ProcessSuccess(ShardState& shard, MonotonicTime now, JobEntity& job,
-                    const TaskKey& key, const VmId& vm) {
+                    const TaskKey& key, const VmId& vm, bool others_may_run) {
   const StepSpec& spec = job.record.spec.steps[key.step];
   auto& tasks = job.occurrences.at(key.occurrence).steps[key.step].tasks;
   if (!spec.gang) {
-    StopRuns(shard, key, vm);
+    if (others_may_run) StopRuns(shard, key, vm);
     return FinishTask(shard, now, job, key, tasks[key.index]);
   }
   // The tasks of a gang end together, so the end of one completes all of them.
@@ -107,6 +108,7 @@
                           const TaskKey& key, TaskEntity& task, VmEntity& vm,
                           const RunEndReport& end, Decisions& log) {
   const StepSpec& spec = job.record.spec.steps[key.step];
+  const bool untracked = task.phase != TaskPhase::kPlaced;
   task.phase = TaskPhase::kIdle;
   task.vm = {};
   task.since = now;
@@ -115,7 +117,8 @@
     case RunEnd::kDone:
       vm.failing_jobs.clear();
       if (spec.lasting) break;
-      return ProcessSuccess(shard, now, job, key, vm.id);
+      return ProcessSuccess(shard, now, job, key, vm.id,
+                            untracked || spec.copies_allowed);
     case RunEnd::kFailed:
       return ProcessFailure(shard, now, job, key, task, end.run, vm, log);
     case RunEnd::kNotStarted:
@@ -201,9 +204,7 @@
   run.speed_limit_sent = report.pace;
   const StepSpec* step = FindStep(shard, report.task);
   if (step != nullptr && !run.known) {
-    run.known = true;
-    run.size = step->each;
-    run.filler = step->filler;
+    SetRunSpec(run, *step);
   }
   run.size_requested = report.unsized;
   if (step != nullptr && step->tail_target_ms > 0) {
@@ -267,6 +268,15 @@
   }
 }
 
+/// Lets the agent discard the ends whose effects are in the store.
+void ReleaseRecordedEnds(const ShardState& shard, VmEntity& vm) {
+  while (!vm.uncommitted_ends.empty() &&
+         vm.uncommitted_ends.front().change <= shard.recorded_change) {
+    vm.ends_recorded = vm.uncommitted_ends.front().number;
+    vm.uncommitted_ends.pop_front();
+  }
+}
+
 void UpdateWorker(VmEntity& vm, MonotonicTime now, const WorkerReport& worker) {
   if (vm.worker.id != worker.id) {
     vm.failing_jobs.clear();
@@ -322,7 +332,7 @@
   RemoveMissingRuns(shard, now, vm, report);
   UpdateModelsFromReport(shard, now, vm, report);
   vm.seen_version = report.version;
-  MarkChangesRecorded(shard, shard.recorded_change);
+  ReleaseRecordedEnds(shard, vm);
   vm.awaiting_first_sync = false;
   if (vm.synced) return;
   vm.synced = true;
@@ -372,13 +382,7 @@
 
 void MarkChangesRecorded(ShardState& shard, uint64_t change) {
   shard.recorded_change = std::max(shard.recorded_change, change);
-  for (auto& [id, vm] : shard.vms) {
-    while (!vm.uncommitted_ends.empty() &&
-           vm.uncommitted_ends.front().change <= shard.recorded_change) {
-      vm.ends_recorded = vm.uncommitted_ends.front().number;
-      vm.uncommitted_ends.pop_front();
-    }
-  }
+  for (auto& [id, vm] : shard.vms) ReleaseRecordedEnds(shard, vm);
 }
 
 }  // namespace almondtally::sched
--- a/source/sched/room.cc
+++ b/source/sched/room.cc
@@ -1,11 +1,10 @@
+#include "sched/room.h"
+
 #include <algorithm>
 #include <cmath>
-#include <string>
 #include <utility>
-#include <vector>
 
 #include "sched/detail.h"
-#include "sched/shard_state.h"
 
 // Load pattern: fillers interfere in bursts of a few seconds, which saturate
 // the queues of serving tasks on the same VM before any measurement shows it;
@@ -29,25 +28,35 @@
 /// target, so that the worst affected jobs are spared further interference.
 constexpr double kMissedTargetPenalty = 2;
 
-/// A serving task on a VM.
-struct ServingTask {
-  std::string image;
-  /// How much its log tail may still rise.
-  double headroom = 0;
-  /// Weight from which a filler counts as interfering.
-  double min_harmful_weight = kHarmlessWeight;
-};
+double CpuShareOf(const VmEntity& vm, MilliCpu cpu) {
+  return static_cast<double>(cpu.value) / static_cast<double>(std::max<int64_t>(
+                                              1, vm.worker.capacity.cpu.value));
+}
+
+void ReduceHeadroom(const ShardState& shard, const VmEntity& vm,
+                    const std::string& image, MilliCpu cpu,
+                    std::vector<ServingTask>& serving) {
+  const double share = CpuShareOf(vm, cpu);
+  for (ServingTask& serving_task : serving) {
+    serving_task.headroom -=
+        InterferenceWeight(shard.interference, image, serving_task.image) *
+        share;
+  }
+}
+
+}  // namespace
 
-std::vector<ServingTask> ListServingTasks(const ShardState& shard,
-                                          const VmEntity& vm) {
+std::vector<ServingTask> ListServingTasks(
+    const ShardState& shard, const VmEntity& vm,
+    const std::optional<TaskKey>& except) {
   std::vector<ServingTask> out;
   for (const auto& [key, run] : vm.runs) {
-    const StepSpec* step = FindStep(shard, key);
-    if (step == nullptr || step->tail_target_ms == 0) continue;
+    if (run.tail_target_ms == 0) continue;
     const auto load = shard.loads.find(key.job);
     ServingTask serving_task;
-    serving_task.image = step->image;
+    serving_task.image = run.image;
     serving_task.headroom = std::log(kPlannedTargetShare) - JobLoad::kFirst;
+    serving_task.min_harmful_weight = kHarmlessWeight;
     if (load != shard.loads.end()) {
       const double missed = load->second.missed;
       serving_task.headroom = std::log(kPlannedTargetShare) -
@@ -56,48 +65,38 @@
     }
     out.push_back(std::move(serving_task));
   }
+  if (out.empty()) return out;
+  for (const auto& [key, run] : vm.runs) {
+    if (!run.filler || run.speed_limit_wanted == 0 || key == except) continue;
+    ReduceHeadroom(shard, vm, run.image, run.size.cpu, out);
+  }
   return out;
 }
 
-double CpuShareOf(const VmEntity& vm, const StepSpec& step) {
-  return static_cast<double>(step.each.cpu.value) /
-         static_cast<double>(
-             std::max<int64_t>(1, vm.worker.capacity.cpu.value));
+void AddFillerLoad(const ShardState& shard, const VmEntity& vm,
+                   const StepSpec& filler, std::vector<ServingTask>& serving) {
+  ReduceHeadroom(shard, vm, filler.image, filler.each.cpu, serving);
 }
 
-}  // namespace
-
 double AllowedFillerSpeed(const ShardState& shard, const VmEntity& vm,
-                          const StepSpec& filler, const TaskKey& key) {
-  auto serving = ListServingTasks(shard, vm);
-  for (const auto& [other, run] : vm.runs) {
-    const StepSpec* step =
-        run.filler && other != key ? FindStep(shard, other) : nullptr;
-    if (step == nullptr || run.speed_limit_wanted == 0) continue;
-    for (ServingTask& serving_task : serving) {
-      serving_task.headroom -=
-          InterferenceWeight(shard.interference, step->image,
-                             serving_task.image) *
-          CpuShareOf(vm, *step);
-    }
-  }
+                          const StepSpec& filler,
+                          const std::vector<ServingTask>& serving) {
   double allowed = 1;
   for (const ServingTask& serving_task : serving) {
     const double weight = InterferenceWeight(shard.interference, filler.image,
                                              serving_task.image);
     if (weight < serving_task.min_harmful_weight) continue;
-    const double rise = weight * CpuShareOf(vm, filler);
+    const double rise = weight * CpuShareOf(vm, filler.each.cpu);
     allowed = std::min(allowed, serving_task.headroom / rise);
   }
   return std::max(allowed, kMinAllowedShare);
 }
 
-bool MayInterfere(const ShardState& shard, const VmEntity& vm,
-                  const StepSpec& filler) {
-  const auto serving = ListServingTasks(shard, vm);
+bool MayInterfere(const ShardState& shard, const std::string& filler_image,
+                  const std::vector<ServingTask>& serving) {
   return std::any_of(
       serving.begin(), serving.end(), [&](const auto& serving_task) {
-        return InterferenceWeight(shard.interference, filler.image,
+        return InterferenceWeight(shard.interference, filler_image,
                                   serving_task.image) >=
                serving_task.min_harmful_weight;
       });
--- a/source/sched/shard_state.cc
+++ b/source/sched/shard_state.cc
@@ -57,6 +57,7 @@
 JobEntity& AddJob(ShardState& shard, MonotonicTime now,
                   const JobRecord& record) {
   JobEntity& job = shard.jobs[record.spec.id];
+  shard.open_jobs.insert(record.spec.id);
   job.record = record;
   const auto it = shard.queues.find(record.spec.queue);
   job.terms = it != shard.queues.end() ? it->second : record.terms;
@@ -116,10 +117,12 @@
   if (!IsFinal(job.state)) return;
   job.ended_at = std::min(now, FromUnix(shard, progress.ended_at_ms));
   shard.ended.push_back(spec.id);
+  shard.open_jobs.erase(spec.id);
 }
 
 void RemoveJob(ShardState& shard, const JobId& job) {
   shard.jobs.erase(job);
+  shard.open_jobs.erase(job);
   shard.dirty.erase(job);
 }
 
@@ -133,6 +136,7 @@
   shard.dirty.insert(id);
   ++shard.change;
   shard.ended.push_back(id);
+  shard.open_jobs.erase(id);
   shard.loads.erase(id);
   for (auto& [vm_id, vm] : shard.vms) {
     for (auto it = vm.runs.lower_bound(TaskKey{id, 0, 0, 0});
@@ -148,10 +152,9 @@
 
 int64_t CountPendingJobs(const ShardState& shard, const QueueId& queue) {
   int64_t n = 0;
-  for (const auto& [id, job] : shard.jobs) {
-    const bool counts = job.accepted && job.record.spec.queue == queue &&
-                        !job.started && !IsFinal(job.state);
-    if (counts) ++n;
+  for (const JobId& id : shard.open_jobs) {
+    const JobEntity& job = shard.jobs.at(id);
+    if (job.accepted && job.record.spec.queue == queue && !job.started) ++n;
   }
   return n;
 }
@@ -159,9 +162,10 @@
 std::optional<MonotonicTime> StartDueOccurrences(ShardState& shard,
                                                  MonotonicTime now) {
   std::optional<MonotonicTime> next;
-  for (auto& [id, job] : shard.jobs) {
+  for (const JobId& id : shard.open_jobs) {
+    JobEntity& job = shard.jobs.at(id);
     const JobSpec& spec = job.record.spec;
-    if (spec.occurrences == 0 || IsFinal(job.state) || !job.accepted) continue;
+    if (spec.occurrences == 0 || !job.accepted) continue;
     while (job.next_occurrence < spec.occurrences) {
       const int64_t due_unix =
           spec.first_due_ms + spec.period_ms * job.next_occurrence;
@@ -190,6 +194,14 @@
   }
 }
 
+void SetRunSpec(VmRun& run, const StepSpec& step) {
+  run.known = true;
+  run.size = step.each;
+  run.filler = step.filler;
+  run.image = step.image;
+  run.tail_target_ms = step.tail_target_ms;
+}
+
 TaskEntity* FindTask(ShardState& shard, const TaskKey& key) {
   const auto job = shard.jobs.find(key.job);
   if (job == shard.jobs.end()) return nullptr;
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -85,9 +85,12 @@
 /// The planner's view of a run on a VM.
 struct VmRun {
   RunNumber run;
+  /// The fields up to `known` are copied from the job's spec.
   Resources size;
   bool filler = false;
-  /// The size and kind were taken from the job's spec.
+  std::string image;
+  /// Above 0 for a serving task.
+  int64_t tail_target_ms = 0;
   bool known = false;
   /// Number of the order batch that contained the start; 0 if not sent yet.
   uint64_t start_batch = 0;
@@ -158,6 +161,8 @@
   std::set<JobId> failing_jobs;
   MonotonicTime set_aside_until{};
 
+  /// When the VM became known to this planner.
+  MonotonicTime listed_at{};
   /// Earliest time of the next update of the fillers' speed limits.
   MonotonicTime next_pace_at{};
   /// Share of the VM's CPU that fillers used, by image, at the last report.
@@ -174,6 +179,9 @@
   PlannerEpoch epoch;
   MonotonicTime took_over_at{};
   std::map<JobId, JobEntity> jobs;
+  /// Jobs that have not ended, a small part of `jobs`: ended ones are kept for
+  /// minutes.
+  std::set<JobId> open_jobs;
   std::map<VmId, VmEntity> vms;
   std::map<QueueId, QueueTerms> queues;
   Duration tail_limit = kDefaultTailLimit;
@@ -236,6 +244,8 @@
 /// Applies queue terms from a new configuration.
 void SetQueues(ShardState& shard, std::map<QueueId, QueueTerms> queues);
 
+/// Copies the fields of a run that come from the job's spec.
+void SetRunSpec(VmRun& run, const StepSpec& step);
 TaskEntity* FindTask(ShardState& shard, const TaskKey& key);
 /// @return null if the job or the step does not exist.
 const StepSpec* FindStep(const ShardState& shard, const TaskKey& key);
@@ -257,11 +267,6 @@
 
 /// Assigns idle tasks of ready steps to VMs.
 void PlaceTasks(ShardState& shard, MonotonicTime now, Decisions& log);
-/// @return the largest share of full speed at which a filler can run on a VM in
-/// addition to the other fillers there without pushing its serving tasks over
-/// their planned latency; negative if the other fillers already do.
-double AllowedFillerSpeed(const ShardState& shard, const VmEntity& vm,
-                          const StepSpec& filler, const TaskKey& key);
 /// Updates the speed limits of the fillers that share a VM with serving tasks.
 void UpdateFillerSpeedLimits(ShardState& shard, MonotonicTime now,
                              Decisions& log);
