Entries with more processor time plan

The delay that should prefer strong entries (20 against 83 ms) is less than the phase of their reads (400 ms), and did not hold for this way nor for an own earlier claim. Change: the head row holds the owner's processor time; ClaimDelay and ShouldReplaceOwner (planner/succession.cc) decide; a vacant shard is read again at once; requests wait up to 1 s (was 0.5) for such a takeover.

--- a/source/planner/gateway.cc
+++ b/source/planner/gateway.cc
@@ -13,7 +13,7 @@
 /// How long a request waits for another entry to take over from a planner that
 /// cannot reach the store. A takeover claims the shard, reads all rows and
 /// contacts the agents.
-constexpr Duration kTakeOverTimeout{500};
+constexpr Duration kTakeOverTimeout{1'000};
 /// Retry-after sent to callers when no planner answered in time.
 constexpr int64_t kNoPlannerRetryAfterMs = 1'000;
 
--- a/source/planner/journal.h
+++ b/source/planner/journal.h
@@ -20,9 +20,11 @@
   PlannerEpoch epoch;
   /// Number of commits by this owner.
   uint64_t sequence = 0;
+  /// Processor time of the owner, or of the last one; 0 if not known.
+  MilliCpu cpu;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ShardHead, planner, address,
-                                                epoch, sequence)
+                                                epoch, sequence, cpu)
 
 enum class JournalOutcome : uint8_t {
   kCommitted,
--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -21,6 +21,10 @@
 /// Delay between attempts to read all rows after a takeover.
 constexpr Duration kLoadRetryDelay{100};
 
+bool IsVacant(const std::optional<ShardHead>& head) {
+  return !head || head->planner.empty();
+}
+
 }  // namespace
 
 void Planner::WatchHead() {
@@ -52,20 +56,44 @@
     if (journal_.version() != head_watch_.version) {
       head_watch_.version = journal_.version();
       head_watch_.unchanged_since = now;
+      // An orphaned shard is not left until the next regular read.
+      if (IsVacant(journal_.head())) {
+        loop_.RunAfter(settings_.take_over_delay + ClaimDelay(ViewOfOwner(now)),
+                       [this] { ReadHead(); });
+      }
+    }
+    const auto& head = journal_.head();
+    if (head && head->epoch != head_watch_.epoch) {
+      head_watch_.epoch = head->epoch;
+      head_watch_.epoch_seen_at = now;
     }
-    if (IsShardClaimable(now)) TakeOver();
+    if (IsShardClaimable(now) || IsOwnerTooWeak(now)) TakeOver();
   });
 }
 
+OwnerView Planner::ViewOfOwner(MonotonicTime now) const {
+  const auto& head = journal_.head();
+  OwnerView view;
+  view.own = settings_.cpu;
+  if (head) view.owner = head->cpu;
+  view.seen_for = now - head_watch_.epoch_seen_at;
+  return view;
+}
+
+bool Planner::IsOwnerTooWeak(MonotonicTime now) const {
+  return !IsVacant(journal_.head()) && ShouldReplaceOwner(ViewOfOwner(now));
+}
+
 bool Planner::IsShardClaimable(MonotonicTime now) const {
   const auto& head = journal_.head();
-  const bool vacant = !head || head->planner.empty();
+  const bool vacant = IsVacant(head);
   const bool own_earlier_claim = head && head->planner == settings_.id.value;
   const Duration read_duration = now - head_watch_.read_sent_at;
   const Duration limit = vacant || own_earlier_claim
                              ? Duration(0)
                              : kOwnerTimeout + 2 * read_duration;
-  return now - head_watch_.unchanged_since >= limit + settings_.take_over_delay;
+  return now - head_watch_.unchanged_since >=
+         limit + settings_.take_over_delay + ClaimDelay(ViewOfOwner(now));
 }
 
 void Planner::UpdateOwnerFromHead() {
@@ -89,13 +117,18 @@
   if (retiring_ || store_read_failed_) return false;
   const MonotonicTime now = loop_.now();
   if (now - last_take_over_request_ < kTakeOverRequestInterval) return true;
+  if (take_over_request_pending_) return true;
   last_take_over_request_ = now;
-  journal_.Read([this, epoch](bool ok) {
-    store_read_failed_ = !ok;
-    if (!ok || planning_ || loading_ || retiring_) return;
-    UpdateOwnerFromHead();
-    const auto& head = journal_.head();
-    if (head && head->epoch == epoch) TakeOver();
+  take_over_request_pending_ = true;
+  loop_.RunAfter(ClaimDelay(ViewOfOwner(now)), [this, epoch] {
+    journal_.Read([this, epoch](bool ok) {
+      take_over_request_pending_ = false;
+      store_read_failed_ = !ok;
+      if (!ok || planning_ || loading_ || retiring_) return;
+      UpdateOwnerFromHead();
+      const auto& head = journal_.head();
+      if (head && head->epoch == epoch) TakeOver();
+    });
   });
   return true;
 }
@@ -105,6 +138,7 @@
   ShardHead new_head;
   new_head.planner = settings_.id.value;
   new_head.address = ToString(settings_.peer);
+  new_head.cpu = settings_.cpu;
   const auto& head = journal_.head();
   new_head.epoch = PlannerEpoch(head ? head->epoch.value + 1 : 1);
   const std::string from = head ? head->planner : "";
--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -11,6 +11,7 @@
 #include "metrics/metrics.h"
 #include "peer/links.h"
 #include "planner/journal.h"
+#include "planner/succession.h"
 #include "sched/shard_state.h"
 #include "wire/loop.h"
 
@@ -23,6 +24,8 @@
   /// Extra delay before claiming a shard without an owner, so that processes
   /// with more processor time claim it first.
   Duration take_over_delay{};
+  /// Processor time of this process; 0 if not known.
+  MilliCpu cpu;
   /// How long the state of an ended job can be queried.
   Duration ended_job_retention{120'000};
   /// How long a serving task may exceed its tail latency target while fillers
@@ -82,6 +85,8 @@
   void WatchHead();
   void ReadHead();
   bool IsShardClaimable(MonotonicTime now) const;
+  bool IsOwnerTooWeak(MonotonicTime now) const;
+  OwnerView ViewOfOwner(MonotonicTime now) const;
   void UpdateOwnerFromHead();
   void TakeOver();
   void LoadRows();
@@ -130,6 +135,8 @@
   struct HeadWatch {
     RowVersion version;
     MonotonicTime unchanged_since{};
+    PlannerEpoch epoch;
+    MonotonicTime epoch_seen_at{};
     MonotonicTime read_sent_at{};
     bool read_in_flight = false;
   };
@@ -137,6 +144,7 @@
   std::optional<ShardOwner> owner_;
   bool store_read_failed_ = false;
   MonotonicTime last_take_over_request_{};
+  bool take_over_request_pending_ = false;
   bool planning_ = false;
   bool loading_ = false;
   bool retiring_ = false;
