A task that waits for its own earlier run holds up no other

Cause, found on reading the diff: the memory of requests that no VM can satisfy also kept those of a task whose own earlier run was still on the only VM with room, so that all like tasks waited for the pass too. Change: only a lack of room is remembered, not a VM that is closed to one task. Measured: test 'a task that waits for its own earlier run holds up no other task' failed before.

--- a/source/sched/job.h
+++ b/source/sched/job.h
@@ -208,7 +208,7 @@
 bool ValidateJob(const JobSpec& spec, JobReason& why);
 
 /// Largest value of a row that the store accepts, in bytes: 64 KiB of base64.
-inline constexpr size_t kMaxRowBytes = 48 * 1'024;
+inline constexpr size_t kMaxRowBytes = 49'152;
 
 /// Checks that the rows of a job fit into the store whatever its progress,
 /// since one row that is too large makes the commits of all jobs fail.
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -150,8 +150,9 @@
   return std::clamp(idle / wanted, 0.0, 1.0);
 }
 
-bool IsEligible(const CandidateVm& candidate, const QueueTerms& terms,
-                const StepSpec& step, const TaskKey& key) {
+/// @return true if a VM could run tasks like those of a step.
+bool HasRoom(const CandidateVm& candidate, const QueueTerms& terms,
+             const StepSpec& step) {
   Resources need = step.each;
   if (step.filler) need.cpu = MilliCpu(0);
   if (!Fits(need, candidate.free)) return false;
@@ -160,11 +161,15 @@
   const WorkerReport& worker = candidate.vm->worker;
   if (worker.service != terms.service) return false;
   const auto& labels = worker.labels;
-  if (!step.required_label.empty() &&
-      std::find(labels.begin(), labels.end(), step.required_label) ==
-          labels.end()) {
-    return false;
-  }
+  return step.required_label.empty() ||
+         std::find(labels.begin(), labels.end(), step.required_label) !=
+             labels.end();
+}
+
+/// @return true unless the VM has an earlier run of the task, or as many tasks
+/// of the step as allowed.
+bool IsOpenToTask(const CandidateVm& candidate, const StepSpec& step,
+                  const TaskKey& key) {
   if (candidate.vm->runs.contains(key)) return false;
   return step.max_per_vm == 0 ||
          CountRunsOfStep(*candidate.vm, key) < step.max_per_vm;
@@ -220,12 +225,8 @@
       });
 }
 
-/// Remembers that no VM has room for a step, unless that is due to limits that
-/// apply to this step or task only.
 void RememberUnmet(PlacementPass& pass, const QueueTerms& terms,
-                   const StepSpec& step, const TaskEntity& task,
-                   bool ruled_out_by_serving) {
-  if (step.max_per_vm != 0 || !task.failed_on.empty()) return;
+                   const StepSpec& step, bool ruled_out_by_serving) {
   UnmetRequest unmet{terms.service, step.required_label, step.filler, step.each,
                      std::nullopt};
   if (ruled_out_by_serving) unmet.image = step.image;
@@ -241,16 +242,22 @@
   CandidateVm* best = nullptr;
   double best_score = kUnsuitable;
   bool ruled_out_by_serving = false;
+  bool closed_to_task = false;
   for (CandidateVm& candidate : pass.candidates) {
-    if (!IsEligible(candidate, terms, step, key)) continue;
+    if (!HasRoom(candidate, terms, step)) continue;
+    if (!IsOpenToTask(candidate, step, key)) {
+      closed_to_task = true;
+      continue;
+    }
     const double score = Score(shard, now, candidate, step, task);
     if (score == kUnsuitable) ruled_out_by_serving = true;
     if (score <= best_score) continue;
     best = &candidate;
     best_score = score;
   }
-  if (best == nullptr)
-    RememberUnmet(pass, terms, step, task, ruled_out_by_serving);
+  // Other tasks may still use a VM that is closed to this one only.
+  if (best == nullptr && !closed_to_task)
+    RememberUnmet(pass, terms, step, ruled_out_by_serving);
   return best;
 }
 
@@ -358,7 +365,8 @@
       CandidateVm* best = nullptr;
       for (CandidateVm& candidate : candidates) {
         if (spec.one_rack && candidate.vm->worker.rack != rack) continue;
-        if (!IsEligible(candidate, ready_step.job->terms, spec, key)) continue;
+        if (!HasRoom(candidate, ready_step.job->terms, spec)) continue;
+        if (!IsOpenToTask(candidate, spec, key)) continue;
         const auto placed_here =
             std::count(chosen.begin(), chosen.end(), &candidate);
         if (spec.max_per_vm != 0 && placed_here >= spec.max_per_vm) continue;
--- a/tests/sched/shard_state_test.cc
+++ b/tests/sched/shard_state_test.cc
@@ -488,6 +488,19 @@
   CHECK(vm.runs.count(Key("urgent", 0, 0)) == 1);
 }
 
+TEST_CASE("a task that waits for its own earlier run holds up no other task") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  AcceptJob(shard, "first", {Step(1, 1'000)});
+  Place(shard);
+  ReportAllRunning(shard, vm);
+  // As after a run that was taken for lost and is reported again.
+  FindTask(shard, Key("first", 0, 0))->phase = TaskPhase::kIdle;
+  AcceptJob(shard, "second", {Step(1, 1'000)});
+  Place(shard);
+  CHECK(vm.runs.count(Key("second", 0, 0)) == 1);
+}
+
 TEST_CASE("invalid jobs are rejected") {
   JobSpec spec;
   JobReason why;
