A target announces at once that it is ready, and asks again soon until then

Cause: an entry places nothing in the first 3 s after its own start, because "every target has announced itself by then" (batch_system.cc). A target is ready once an entry's answer has given it its generation, and it said so only with its next regular announcement, 2.2 to 2.7 s later; if its first announcement was refused or answered without a proof, with the third, after up to 5.3 s. Executors then go to the VMs that are ready, and the engine of the admin interface moves none later. A service that exists at a cold start can so end up on one VM for good.

Change: a target that becomes ready announces itself to every entry after 100 ms, and until it is ready announces each 500 ms (was 2.4 s). No check and no system test is changed; drain_test keeps creating its service first, so it still covers a cold start.

Not measured: the bytes of the more frequent announcements while a target is not ready.

--- a/source/target/announcer.cc
+++ b/source/target/announcer.cc
@@ -9,8 +9,16 @@
 
 constexpr Duration kAnnounceTimeout{3'000};
 constexpr Duration kSoonDelay{100};
+/// Time between announcements until the target is ready. Entries that start
+/// with their targets place nothing for 3 s; by then they must know every VM
+/// that takes work, because executors are not moved to VMs that come later.
+constexpr Duration kUnreadyInterval{500};
 constexpr Duration kForgetEntryAfter{30'000};
 
+bool IsReady(const TaskTable& tasks) {
+  return tasks.worker_listed && tasks.generation.value != 0;
+}
+
 Announcement MakeAnnounce(const TargetContext& context) {
   const TaskTable& tasks = context.tasks;
   Announcement out;
@@ -21,7 +29,7 @@
   out.incarnation = tasks.incarnation;
   out.now_ms = TargetTime(context.loop.now().time_since_epoch().count());
   out.generation = tasks.generation;
-  out.ready = tasks.worker_listed && tasks.generation.value != 0;
+  out.ready = IsReady(tasks);
   out.leaving = context.leaving;
   out.config = context.config.version;
   out.capacity = tasks.capacity;
@@ -117,14 +125,19 @@
 void AnnounceIfDue(TargetContext& context) {
   const MonotonicTime now = context.loop.now();
   ForgetSilentEntries(context);
+  const bool ready = IsReady(context.tasks);
+  if (ready && !context.was_ready) AnnounceSoon(context);
+  context.was_ready = ready;
+  const Duration every =
+      ready ? context.settings.announce_every
+            : std::min(context.settings.announce_every, kUnreadyInterval);
   // Jitter keeps the targets from announcing at the same moment.
-  const auto tenth = context.settings.announce_every.count() / 10;
+  const auto tenth = every.count() / 10;
   std::uniform_int_distribution<int64_t> jitter(-tenth, tenth);
   std::vector<Address> due;
   for (auto& [address, contact] : context.entries) {
     if (contact.in_flight || now < contact.next_announce) continue;
-    contact.next_announce = now + context.settings.announce_every +
-                            Duration(jitter(context.random));
+    contact.next_announce = now + every + Duration(jitter(context.random));
     due.push_back(address);
   }
   for (const Address& address : due) AnnounceTo(context, address);
--- a/source/target/target_context.h
+++ b/source/target/target_context.h
@@ -64,6 +64,8 @@
   PressureState pressure;
   std::map<Address, EntryContact> entries;
   bool listing_in_flight = false;
+  /// Whether the target was ready when announcements were last considered.
+  bool was_ready = false;
   bool leaving = false;
   MonotonicTime leaving_since{};
 };
