--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -51,6 +51,45 @@
       DecodeWorkerMessage(HeartbeatRequest(valid), {"10.0.0.8", 1}, kService));
 }
 
+std::optional<WorkerMessage> DecodeCapacityOf(const std::string& capacity) {
+  std::string body = HeartbeatBody();
+  const std::string valid = R"({"cpu":16000,"memMb":32768})";
+  body.replace(body.find(valid), valid.size(), capacity);
+  return DecodeWorkerMessage(HeartbeatRequest(body), kWorker, kService);
+}
+
+// Regression test: the heartbeat of a worker that had lost all its processors
+// was rejected, and starts went on against the previous capacity.
+TEST_CASE("a capacity that has shrunk to nothing is accepted") {
+  for (const char* capacity :
+       {R"({"cpu":0,"memMb":32768,"gpu":0})", R"({"cpu":16000,"memMb":0})",
+        R"({"cpu":0,"memMb":0,"gpu":0})"}) {
+    CHECK(DecodeCapacityOf(capacity));
+  }
+  const auto message = DecodeCapacityOf(R"({"cpu":0,"memMb":512})");
+  REQUIRE(message);
+  CHECK(message->heartbeat.worker.capacity ==
+        Resources{MilliCpu(0), Mebibytes(512), Accelerators(0)});
+}
+
+// Regression test: numbers that no machine has, and accelerators of another
+// type, were accepted as a capacity.
+TEST_CASE("a capacity with missing, mistyped or absurd values is malformed") {
+  for (const char* capacity :
+       {"{}", "[]", "7", "null", R"({"cpu":16000})", R"({"memMb":32768})",
+        R"({"cpu":"16000","memMb":32768})", R"({"cpu":null,"memMb":32768})",
+        R"({"cpu":true,"memMb":32768})", R"({"cpu":-1,"memMb":32768})",
+        R"({"cpu":-0.5,"memMb":32768})", R"({"cpu":16000,"memMb":-1})",
+        R"({"cpu":16000,"memMb":32768,"gpu":-1})",
+        R"({"cpu":16000,"memMb":32768,"gpu":"1"})",
+        R"({"cpu":9223372036854775807,"memMb":32768})",
+        R"({"cpu":18446744073709551615,"memMb":32768})",
+        R"({"cpu":16000,"memMb":1e300})"}) {
+    CAPTURE(std::string(capacity));
+    CHECK_FALSE(DecodeCapacityOf(capacity));
+  }
+}
+
 sched::QueueConfig Config() {
   const auto config = DecodeConfig(
       R"({"version":7,"routes":[
