Ignore heartbeats that arrive after later ones

Cause: the sequence number of heartbeats was not read. Change: WorkerHello carries the number. Within one worker process (same id and start time) one with a lower number than already seen is acknowledged and has no effect. A heartbeat without a number, or without the start time that tells a restarted worker from a late call, is applied as before. "a restarted worker numbers its heartbeats from the beginning" and "heartbeats without a number are applied as they arrive" guard the two exceptions.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -272,6 +272,7 @@
   for (UnrecordedEnd& end : table.ends) end.worker_number = 0;
   table.worker_end_seen = 0;
   table.worker_end_recorded = 0;
+  table.worker_sequence = 0;
   table.clock_known = false;
   table.worker.responsive = false;
   table.lease_sent_until = {};
@@ -292,6 +293,12 @@
     ReplaceWorker(table);
     table.worker_born_ms = hello.born_ms;
   }
+  // Without the time of its start, a restarted worker, which counts from the
+  // beginning, cannot be told from a late announcement.
+  if (hello.sequence && hello.born_ms != 0) {
+    if (*hello.sequence < table.worker_sequence) return is_new_worker;
+    table.worker_sequence = *hello.sequence;
+  }
   const bool responsive = table.worker.responsive;
   const bool unchanged = !is_new_worker &&
                          table.worker.draining == hello.worker.draining &&
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -55,6 +55,9 @@
   WorkerReport worker;
   /// Unix time of the worker's start; 0 if unknown.
   int64_t born_ms = 0;
+  /// Number of the announcement, increasing within one worker process; empty if
+  /// unknown.
+  std::optional<uint64_t> sequence;
 };
 
 /// The runs of one VM. The functions below update this state and return the
@@ -75,6 +78,8 @@
 
   WorkerReport worker;
   int64_t worker_born_ms = 0;
+  /// Highest number of an announcement of this worker process.
+  uint64_t worker_sequence = 0;
   /// The worker's clock showed at least `clock_ms` at `clock_at` on our clock.
   /// Used to convert lease ends to the worker's clock.
   bool clock_known = false;
@@ -100,7 +105,8 @@
 };
 
 /// Applies an announcement of the worker. Ends all runs if the worker was
-/// replaced or restarted.
+/// replaced or restarted. Ignores an announcement that arrives after a later
+/// one of the same worker process.
 /// @return true if it was.
 bool ApplyWorkerHello(RunTable& table, MonotonicTime now,
                       const WorkerHello& hello);
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -240,6 +240,57 @@
   CHECK(BeginRenewal(table, kNow)->recorded == 0);
 }
 
+WorkerHello NumberedHello(uint64_t sequence, int64_t cpu,
+                          int64_t born_ms = 100) {
+  WorkerHello hello = Hello("w", born_ms);
+  hello.worker.capacity.cpu = MilliCpu(cpu);
+  hello.sequence = sequence;
+  return hello;
+}
+
+// Regression test: a heartbeat that was delayed in the network gave a worker
+// the capacity back that it no longer had.
+TEST_CASE("a late heartbeat does not restore an earlier capacity or state") {
+  RunTable table = Ready();
+  WorkerHello shrunk = NumberedHello(7, 1'000);
+  shrunk.worker.draining = true;
+  ApplyWorkerHello(table, kNow, shrunk);
+  const uint64_t version = table.version;
+  CHECK_FALSE(ApplyWorkerHello(table, kNow, NumberedHello(6, 4'000)));
+  CHECK(table.worker.capacity.cpu == MilliCpu(1'000));
+  CHECK(table.worker.draining);
+  CHECK(table.version == version);
+  ApplyWorkerHello(table, kNow, NumberedHello(8, 4'000));
+  CHECK(table.worker.capacity.cpu == MilliCpu(4'000));
+  CHECK_FALSE(table.worker.draining);
+}
+
+TEST_CASE("a restarted worker numbers its heartbeats from the beginning") {
+  RunTable table = Ready();
+  ApplyWorkerHello(table, kNow, NumberedHello(50, 1'000));
+  SUBCASE("when its heartbeat arrives first") {
+    CHECK(ApplyWorkerHello(table, kNow, NumberedHello(1, 4'000, 200)));
+  }
+  SUBCASE("when its listing arrives first") {
+    ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
+                       Listing(10, 200));
+    ApplyWorkerHello(table, kNow, NumberedHello(1, 4'000, 200));
+  }
+  CHECK(table.worker.capacity.cpu == MilliCpu(4'000));
+}
+
+TEST_CASE("heartbeats without a number are applied as they arrive") {
+  RunTable table = Ready();
+  ApplyWorkerHello(table, kNow, NumberedHello(50, 4'000));
+  WorkerHello unnumbered = NumberedHello(0, 1'000);
+  unnumbered.sequence.reset();
+  ApplyWorkerHello(table, kNow, unnumbered);
+  CHECK(table.worker.capacity.cpu == MilliCpu(1'000));
+  // A number says nothing without the time of the worker's start.
+  ApplyWorkerHello(table, kNow, NumberedHello(1, 2'000, 0));
+  CHECK(table.worker.capacity.cpu == MilliCpu(2'000));
+}
+
 TEST_CASE("runs of an unresponsive worker end when all leases have expired") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -33,6 +33,19 @@
   CHECK_FALSE(message->heartbeat.worker.draining);
 }
 
+TEST_CASE("a heartbeat gives its sequence number, if it has one") {
+  const auto sequence_of = [](const std::string& extra_fields) {
+    const auto message = DecodeWorkerMessage(
+        HeartbeatRequest(HeartbeatBody(extra_fields)), kWorker, kService);
+    REQUIRE(message);
+    return message->heartbeat.sequence;
+  };
+  CHECK(sequence_of(R"(,"sequence":4)") == std::optional<uint64_t>(4));
+  CHECK_FALSE(sequence_of(""));
+  CHECK_FALSE(sequence_of(R"(,"sequence":"4")"));
+  CHECK_FALSE(sequence_of(R"(,"sequence":-4)"));
+}
+
 TEST_CASE("malformed and foreign heartbeats are rejected") {
   const std::string valid = HeartbeatBody();
   for (const std::string& body :
