Check the capacity again before each start call

What callers would see: an executor whose capacity shrank between the order and the start call was brought over it (LIMIT). The call waits when the executor rejects it for its fencing number and it is sent again. Cause: a run was checked against the capacity only when its order arrived. Change: BeginStartCalls checks each run again, against all runs that the worker has or may have: running, being stopped, call in flight or unanswered, and those started in the same pass. A run without room ends as not started ("no room"), so the planner places it elsewhere.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -80,6 +80,37 @@
   return sum;
 }
 
+/// @param reserved sizes of the runs that count against the capacity.
+/// @return the reason why the worker has no room for another run; empty if it
+/// has.
+std::string CheckRoom(const RunTable& table, const Resources& reserved,
+                      const StartOrder& order) {
+  const bool all_sized =
+      std::all_of(table.runs.begin(), table.runs.end(),
+                  [](const auto& it) { return it.second.size_known; });
+  if (!all_sized) return "sizes of runs not known";
+  const Resources after = reserved + AdmissionSize(order.size, order.filler);
+  if (!Fits(after, table.worker.capacity)) return "no room";
+  return "";
+}
+
+/// @return true if the run's start call must be sent, for the first time or
+/// again.
+bool AwaitsStartCall(const AgentRun& run) {
+  return run.phase == RunPhase::kStarting && !run.call_in_flight &&
+         !run.start_unanswered;
+}
+
+/// @return the total size of the runs that the worker has, or may have.
+Resources SizeOfStartedRuns(const RunTable& table) {
+  Resources sum;
+  for (const auto& [task, run] : table.runs) {
+    if (AwaitsStartCall(run)) continue;
+    sum += AdmissionSize(run.order.size, run.order.filler);
+  }
+  return sum;
+}
+
 /// @return the reason for refusing the order; empty if it is admitted.
 std::string CheckAdmission(const RunTable& table, MonotonicTime now,
                            const StartOrder& order,
@@ -89,14 +120,7 @@
   if (table.worker.draining) return "draining";
   if (!table.clock_known) return "worker not heard yet";
   if (table.lease_until - now < kMinLeaseToStart) return "lease too short";
-  const bool all_sized =
-      std::all_of(table.runs.begin(), table.runs.end(),
-                  [](const auto& it) { return it.second.size_known; });
-  if (!all_sized) return "sizes of runs not known";
-  const Resources after =
-      TotalAdmissionSize(table) + AdmissionSize(order.size, order.filler);
-  if (!Fits(after, table.worker.capacity)) return "no room";
-  return "";
+  return CheckRoom(table, TotalAdmissionSize(table), order);
 }
 
 void ApplyStartOrder(RunTable& table, MonotonicTime now,
@@ -122,8 +146,7 @@
   const auto it = table.runs.find(order.task);
   if (it == table.runs.end() || it->second.order.run != order.run) return;
   AgentRun& run = it->second;
-  if (run.phase == RunPhase::kStarting && !run.call_in_flight &&
-      !run.start_unanswered) {
+  if (AwaitsStartCall(run)) {
     return EndRunLocally(table, it, RunEnd::kNotStarted,
                          "stopped before start");
   }
@@ -365,14 +388,19 @@
 
 std::vector<StartCall> BeginStartCalls(RunTable& table, MonotonicTime now) {
   std::vector<StartCall> out;
+  Resources reserved = SizeOfStartedRuns(table);
   for (auto it = table.runs.begin(); it != table.runs.end();) {
     const auto next = std::next(it);
     AgentRun& run = it->second;
-    if (run.phase == RunPhase::kStarting && !run.call_in_flight &&
-        !run.start_unanswered) {
+    if (AwaitsStartCall(run)) {
+      // The capacity may have shrunk since the order was admitted.
+      const std::string no_room = CheckRoom(table, reserved, run.order);
       if (table.lease_until - now < kMinLeaseToStart) {
         EndRunLocally(table, it, RunEnd::kNotStarted, "lease too short");
+      } else if (!no_room.empty()) {
+        EndRunLocally(table, it, RunEnd::kNotStarted, no_room);
       } else {
+        reserved += AdmissionSize(run.order.size, run.order.filler);
         run.call_in_flight = true;
         run.call_fencing = table.fencing;
         out.push_back({MakeCall(table),
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -291,6 +291,100 @@
   CHECK(table.worker.capacity.cpu == MilliCpu(2'000));
 }
 
+void SetCapacity(RunTable& table, int64_t cpu) {
+  WorkerHello hello = Hello();
+  hello.worker.capacity.cpu = MilliCpu(cpu);
+  ApplyWorkerHello(table, kNow, hello);
+}
+
+TEST_CASE("an order that arrives after the capacity has shrunk is refused") {
+  RunTable table = Ready();
+  SetCapacity(table, 0);
+  Order(table, {Start(kTask, 1, 1'000)});
+  CHECK(table.runs.empty());
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].end == RunEnd::kNotStarted);
+  CHECK(Ends(table)[0].reason == "no room");
+}
+
+// Regression test: a run that had been admitted was started after the capacity
+// had shrunk below it.
+TEST_CASE("a run is not started once the capacity has shrunk below it") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1, 2'000), Start(kOther, 1, 2'000)});
+  SUBCASE("before its start call is sent") {
+    SetCapacity(table, 2'000);
+    CHECK(BeginStartCalls(table, kNow).size() == 1);
+  }
+  SUBCASE("before its start call is sent again") {
+    const auto calls = BeginStartCalls(table, kNow);
+    REQUIRE(calls.size() == 2);
+    FinishStartCall(table, kNow, calls[0], {});
+    FinishStartCall(table, kNow, calls[1], {CallOutcome::kFenced, "fence"});
+    SetCapacity(table, 2'000);
+    CHECK(BeginStartCalls(table, kNow).empty());
+  }
+  SUBCASE("while another start is unanswered") {
+    const auto calls = BeginStartCalls(table, kNow);
+    FinishStartCall(table, kNow, calls[0], {CallOutcome::kUnknown, ""});
+    FinishStartCall(table, kNow, calls[1], {CallOutcome::kFenced, "fence"});
+    SetCapacity(table, 2'000);
+    CHECK(BeginStartCalls(table, kNow).empty());
+  }
+  SUBCASE("while another run is being stopped") {
+    const auto calls = BeginStartCalls(table, kNow);
+    FinishStartCall(table, kNow, calls[0], {});
+    FinishStartCall(table, kNow, calls[1], {CallOutcome::kFenced, "fence"});
+    SyncRequest request = Request(table, table.batch + 1);
+    request.stops = {{kTask, RunNumber(1)}};
+    ApplySyncRequest(table, kNow, request);
+    FinishStopCall(table, kNow, BeginStopCalls(table, kNow)[0], {});
+    SetCapacity(table, 2'000);
+    CHECK(BeginStartCalls(table, kNow).empty());
+  }
+  CHECK(table.runs.size() == 1);
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].task == kOther);
+  CHECK(Ends(table)[0].end == RunEnd::kNotStarted);
+  CHECK(Ends(table)[0].reason == "no room");
+}
+
+TEST_CASE("a run that fits the capacity exactly is started again") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1, 2'000)});
+  const auto calls = BeginStartCalls(table, kNow);
+  FinishStartCall(table, kNow, calls[0], {CallOutcome::kFenced, "fence"});
+  SetCapacity(table, 2'000);
+  CHECK(BeginStartCalls(table, kNow).size() == 1);
+  CHECK(Ends(table).empty());
+}
+
+TEST_CASE("runs keep running when the capacity shrinks below them") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  SetCapacity(table, 0);
+  WorkerListing listing = Listing();
+  listing.running = {{kTask, RunNumber(1), "", 100, -1}};
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), listing);
+  CHECK(table.runs.at(kTask).phase == RunPhase::kRunning);
+  CHECK(Ends(table).empty());
+}
+
+TEST_CASE("a change of the capacity is reported and used at once") {
+  RunTable table = Ready();
+  SetCapacity(table, 0);
+  SyncRequest request = Request(table);
+  request.seen_version = MakeReport(table, kNow, request).version;
+  CHECK_FALSE(HasUnreportedChanges(table, request));
+  SetCapacity(table, 1'000);
+  CHECK(HasUnreportedChanges(table, request));
+  CHECK(MakeReport(table, kNow, request).worker.capacity.cpu ==
+        MilliCpu(1'000));
+  Order(table, {Start(kTask, 1, 1'000)});
+  CHECK(BeginStartCalls(table, kNow).size() == 1);
+}
+
 TEST_CASE("runs of an unresponsive worker end when all leases have expired") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
