Start nothing on a restarted worker before it gives its capacity

What callers would see: after an executor restarted under its id, tasks were started by the capacity of its former incarnation, which may be of a larger kind, until the first heartbeat of the new one (LIMIT). Cause: a listing with a newer start time replaces the worker but kept the capacity; only announcements carry one. Found while looking for other places where an outdated capacity is used. Change: ReplaceWorker sets the capacity to 0 until the new worker announces itself. Evidence: agent_test "a restarted worker starts nothing before it gives its capacity" failed before (2 checks) and passes now.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -296,6 +296,8 @@
   table.worker_end_seen = 0;
   table.worker_end_recorded = 0;
   table.worker_sequence = 0;
+  // Unknown until the new worker announces itself.
+  table.worker.capacity = {};
   table.clock_known = false;
   table.worker.responsive = false;
   table.lease_sent_until = {};
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -385,6 +385,20 @@
   CHECK(BeginStartCalls(table, kNow).size() == 1);
 }
 
+// Regression test: a restarted worker that listed its runs before it announced
+// itself was given starts by the capacity of the worker before it.
+TEST_CASE("a restarted worker starts nothing before it gives its capacity") {
+  RunTable table = Ready();
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), Listing(10, 200));
+  Order(table, {Start(kTask, 1, 4'000)});
+  CHECK(BeginStartCalls(table, kNow).empty());
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].reason == "no room");
+  ApplyWorkerHello(table, kNow, Hello("w", 200));
+  Order(table, {Start(kTask, 2, 4'000)});
+  CHECK(BeginStartCalls(table, kNow).size() == 1);
+}
+
 TEST_CASE("runs of an unresponsive worker end when all leases have expired") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
