Keep VMs that are over their capacity out of the load models

What callers would see: after the capacity of one executor shrank far below its runs, fillers were placed beside tasks that serve users as if these had little load, on all VMs. Cause: a filler's use counts as a share of the VM's processors. With 0 processors the share of one filler is several hundred, its expected effect is taken off the measured tail latency, and the result enters the mean load of the job, which all VMs share. Change: UpdateModelsFromReport ignores the measurements of a VM whose runs reserve more than its capacity.

--- a/source/sched/detail.h
+++ b/source/sched/detail.h
@@ -9,6 +9,14 @@
 void UpdateReadySteps(const JobSpec& spec, OccurrenceEntity& occurrence,
                       MonotonicTime now);
 
+/// @return the part of a VM's capacity that its runs reserve, including those
+/// being stopped; fillers reserve no CPU.
+Resources ReservedCapacity(const VmEntity& vm);
+
+/// @return true if the runs of a VM reserve more than its capacity, which has
+/// shrunk since they were placed.
+bool IsOverCapacity(const VmEntity& vm);
+
 /// @return the CPU use of the fillers on a VM, as last measured.
 std::vector<FillerUse> MeasuredFillerUse(const VmEntity& vm);
 
--- a/source/sched/learn.cc
+++ b/source/sched/learn.cc
@@ -76,6 +76,9 @@
                             const SyncReport& report) {
   const auto fillers = MeasuredFillerUse(vm);
   const double change = UpdateFillerUses(vm, fillers);
+  // Shares of a capacity that has shrunk below the runs are beyond the range of
+  // the models, which all VMs share.
+  if (IsOverCapacity(vm)) return;
   for (const RunReport& it : report.runs) {
     const auto found = vm.runs.find(it.task);
     if (found == vm.runs.end()) continue;
--- a/source/sched/shard_state.cc
+++ b/source/sched/shard_state.cc
@@ -202,6 +202,20 @@
   run.tail_target_ms = step.tail_target_ms;
 }
 
+Resources ReservedCapacity(const VmEntity& vm) {
+  Resources sum;
+  for (const auto& [key, run] : vm.runs) {
+    Resources size = run.size;
+    if (run.filler) size.cpu = MilliCpu(0);
+    sum += size;
+  }
+  return sum;
+}
+
+bool IsOverCapacity(const VmEntity& vm) {
+  return !Fits(ReservedCapacity(vm), vm.worker.capacity);
+}
+
 TaskEntity* FindTask(ShardState& shard, const TaskKey& key) {
   const auto job = shard.jobs.find(key.job);
   if (job == shard.jobs.end()) return nullptr;
