Stop runs that a shrunk VM no longer has room for

What callers would see: an executor whose capacity shrank kept all its runs for good, lasting tasks included, although others had room for them. Cause: the planner stopped runs on draining VMs and paused fillers only. Change: a VM that has been over its capacity for 3 s is relieved of runs that use the scarce resource (source/sched/shrink.cc): fillers first, then by priority, checkpoints and progress; lasting tasks last, one a second, with room elsewhere and within the disruption limit of their step. Runs that end soon and gangs are left to end. docs/PLATFORM.md, "Capacity that changes", gives the reasons. The state is over_capacity_since of each VM, next_lasting_stop_at of the shard. "nothing is stopped for a capacity that is back within seconds" and "runs that end soon are left to end on a shrunk VM" guard what must not happen.

--- a/source/sched/detail.h
+++ b/source/sched/detail.h
@@ -17,6 +17,11 @@
 /// shrunk since they were placed.
 bool IsOverCapacity(const VmEntity& vm);
 
+/// Stops runs of a VM that has been over its capacity for some time, until the
+/// others fit.
+void StopRunsOverCapacity(ShardState& shard, VmEntity& vm, MonotonicTime now,
+                          Decisions& log);
+
 /// @return the CPU use of the fillers on a VM, as last measured.
 std::vector<FillerUse> MeasuredFillerUse(const VmEntity& vm);
 
--- a/source/sched/pace.cc
+++ b/source/sched/pace.cc
@@ -2,6 +2,7 @@
 #include <string>
 #include <vector>
 
+#include "sched/detail.h"
 #include "sched/room.h"
 #include "sched/shard_state.h"
 
@@ -116,7 +117,10 @@
       const VmRun& run = it.second;
       return run.stop_wanted && !run.seen && run.start_batch == 0;
     });
-    if (!vm.synced) continue;
+    if (!vm.synced) {
+      vm.over_capacity_since = {};
+      continue;
+    }
     for (auto& [key, run] : vm.runs) {
       if (run.stop_wanted || run.phase != RunPhase::kRunning) continue;
       if (!vm.worker.draining && run.paused_since == MonotonicTime{}) continue;
@@ -151,6 +155,7 @@
       decision.age_ms = (vm.shutdown_at - now).count();
       log.push_back(std::move(decision));
     }
+    if (!vm.worker.draining) StopRunsOverCapacity(shard, vm, now, log);
   }
 }
 
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -156,6 +156,8 @@
   WorkerReport worker;
   MonotonicTime shutdown_at{};
   std::map<TaskKey, VmRun> runs;
+  /// Since when the runs have reserved more than the worker's capacity.
+  MonotonicTime over_capacity_since{};
 
   /// Jobs with a failed run on this VM since the last successful run.
   std::set<JobId> failing_jobs;
@@ -184,6 +186,9 @@
   std::set<JobId> open_jobs;
   std::map<VmId, VmEntity> vms;
   std::map<QueueId, QueueTerms> queues;
+  /// Earliest time at which another lasting task may be stopped because of a
+  /// capacity that has shrunk.
+  MonotonicTime next_lasting_stop_at{};
   Duration tail_limit = kDefaultTailLimit;
   InterferenceModel interference;
   /// Load of the jobs that have serving tasks.
@@ -270,8 +275,9 @@
 /// Updates the speed limits of the fillers that share a VM with serving tasks.
 void UpdateFillerSpeedLimits(ShardState& shard, MonotonicTime now,
                              Decisions& log);
-/// Stops runs that should move to another VM: those on draining VMs, and paused
-/// fillers that could run elsewhere. Drops runs that were cancelled before
+/// Stops runs that should move to another VM: those on draining VMs, paused
+/// fillers that could run elsewhere, and those that a VM whose capacity has
+/// shrunk no longer has room for. Drops runs that were cancelled before
 /// their start was sent.
 void StopRunsToMove(ShardState& shard, MonotonicTime now, Decisions& log);
 
