Move fillers off VMs without processors

What callers would see: a filler on an executor whose processors shrank to 0 made no progress until they grew again, although other executors had idle ones. Cause: fillers reserve no CPU, so that their VM did not count as over its capacity. Change: a VM without processors that has fillers counts as over its capacity; after the usual wait they are stopped if another VM has processors for them. Evidence: sched_test "fillers leave a VM without processors for one that has some" failed before (1 check) and passes now. "a task that was refused on a shrunk VM is placed on another one" passed before and guards what was right.

--- a/source/sched/detail.h
+++ b/source/sched/detail.h
@@ -14,7 +14,7 @@
 Resources ReservedCapacity(const VmEntity& vm);
 
 /// @return true if the runs of a VM reserve more than its capacity, which has
-/// shrunk since they were placed.
+/// shrunk since they were placed, or fillers are on a VM without processors.
 bool IsOverCapacity(const VmEntity& vm);
 
 /// Stops runs of a VM that has been over its capacity for some time, until the
--- a/source/sched/shard_state.cc
+++ b/source/sched/shard_state.cc
@@ -213,7 +213,10 @@
 }
 
 bool IsOverCapacity(const VmEntity& vm) {
-  return !Fits(ReservedCapacity(vm), vm.worker.capacity);
+  if (!Fits(ReservedCapacity(vm), vm.worker.capacity)) return true;
+  return vm.worker.capacity.cpu.value <= 0 &&
+         std::any_of(vm.runs.begin(), vm.runs.end(),
+                     [](const auto& it) { return it.second.filler; });
 }
 
 TaskEntity* FindTask(ShardState& shard, const TaskKey& key) {
--- a/source/sched/shrink.cc
+++ b/source/sched/shrink.cc
@@ -29,6 +29,8 @@
   VmRun* run = nullptr;
   const StepSpec* step = nullptr;
   int64_t priority = 0;
+  /// Makes no progress here, but would on another VM.
+  bool starved = false;
 };
 
 Resources ReservedSize(const VmRun& run) {
@@ -45,8 +47,6 @@
          (free.accelerators.value < 0 && size.accelerators.value > 0);
 }
 
-bool IsWithinCapacity(const Resources& free) { return Fits({}, free); }
-
 bool IsAvailable(const ShardState& shard, const TaskKey& key,
                  const TaskEntity& task) {
   const auto vm = shard.vms.find(task.vm);
@@ -96,15 +96,24 @@
   });
 }
 
+/// @return true for a filler on a VM without processors if another VM can run
+/// it.
+bool IsStarved(const ShardState& shard, const VmEntity& vm, const VmRun& run,
+               const StepSpec& step) {
+  return run.filler && vm.worker.capacity.cpu.value <= 0 &&
+         HasRoomElsewhere(shard, vm, step);
+}
+
 /// @return true if a run may be stopped, apart from its step's disruption
 /// limit.
 bool IsStoppable(const ShardState& shard, const VmEntity& vm, const VmRun& run,
-                 const StepSpec& step, MonotonicTime now) {
+                 const StepSpec& step, bool starved, MonotonicTime now) {
   if (run.stop_wanted || run.phase != RunPhase::kRunning) return false;
   // A stop would end the other members as well.
   if (step.gang) return false;
   // A lasting task without any other place keeps working here, if slowly.
   if (step.lasting) return HasRoomElsewhere(shard, vm, step);
+  if (starved) return true;
   if (run.percent >= kNearlyDonePercent) return false;
   return step.checkpoints ||
          run.running_since + Duration(step.estimate_ms) > now + kLeftToEnd;
@@ -117,8 +126,11 @@
   std::vector<StoppableRun> out;
   for (auto& [key, run] : vm.runs) {
     const StepSpec* step = FindStep(shard, key);
-    if (step == nullptr || !IsStoppable(shard, vm, run, *step, now)) continue;
-    out.push_back({key, &run, step, shard.jobs.at(key.job).terms.priority});
+    if (step == nullptr) continue;
+    const bool starved = IsStarved(shard, vm, run, *step);
+    if (!IsStoppable(shard, vm, run, *step, starved, now)) continue;
+    out.push_back(
+        {key, &run, step, shard.jobs.at(key.job).terms.priority, starved});
   }
   const auto rank = [](const StoppableRun& it) {
     const bool serving = it.step->tail_target_ms > 0;
@@ -144,11 +156,9 @@
   for (const auto& [key, run] : vm.runs) {
     if (run.stop_wanted) free += ReservedSize(run);
   }
-  if (IsWithinCapacity(free)) return;
   for (const StoppableRun& it : ListStoppableRuns(shard, vm, now)) {
-    if (IsWithinCapacity(free)) return;
     const Resources size = ReservedSize(*it.run);
-    if (!Relieves(size, free)) continue;
+    if (!it.starved && !Relieves(size, free)) continue;
     if (it.step->lasting) {
       if (now < shard.next_lasting_stop_at) continue;
       if (!MayDisrupt(shard, it.key, *it.step)) continue;
--- a/tests/sched/capacity_test.cc
+++ b/tests/sched/capacity_test.cc
@@ -59,6 +59,26 @@
   CHECK(vm.runs.size() == 1);
 }
 
+TEST_CASE("a task that was refused on a shrunk VM is placed on another one") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a", 4'000);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  Place(shard);
+  REQUIRE(vm.runs.size() == 1);
+  SyncRequest request;
+  CollectOrders(shard, vm, request);
+  VmEntity& other = AddVm(shard, "b", 4'000);
+  SyncReport report = Report(vm);
+  report.worker.capacity = Cpu(0);
+  report.ends.push_back({vm.seen_end + 1, Key("j", 0, 0), RunNumber(1),
+                         RunEnd::kNotStarted, "", "no room"});
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  Place(shard, kNow + Duration(1'000));
+  CHECK(vm.runs.empty());
+  CHECK(other.runs.count(Key("j", 0, 0)) == 1);
+}
+
 TEST_CASE("capacity that has grown again is used in the next pass") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a", 4'000);
@@ -233,6 +253,32 @@
   CHECK_FALSE(IsStopped(vm, "serving"));
 }
 
+// Regression test: fillers stayed on a VM that had lost all its processors, and
+// never ended.
+TEST_CASE("fillers leave a VM without processors for one that has some") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a", 4'000);
+  AcceptJob(shard, "filler", {FillerStep(1, 1'000)});
+  Place(shard);
+  ReportAllRunning(shard, vm);
+  SetCapacity(shard, vm, Cpu(0));
+  VmEntity& other = AddVm(shard, "b", 500);
+  StopWhatNoLongerFits(shard);
+  CHECK_FALSE(IsStopped(vm, "filler"));
+  SetCapacity(shard, other, Cpu(1'000));
+  SUBCASE("while there are none") {
+    Decisions log;
+    StopRunsToMove(shard, kNow + kSettled, log);
+    CHECK(IsStopped(vm, "filler"));
+  }
+  SUBCASE("unless they are back") {
+    SetCapacity(shard, vm, Cpu(1'000));
+    Decisions log;
+    StopRunsToMove(shard, kNow + kSettled, log);
+    CHECK_FALSE(IsStopped(vm, "filler"));
+  }
+}
+
 TEST_CASE("a lasting task without another place stays on its shrunk VM") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a", 4'000);
