Look for runs to stop on a shrunk VM twice a second

What callers would see: nothing in the cases tested; a VM that stays over its capacity with nothing to stop made each planning pass compare its lasting runs with all other VMs. Cause: found in review; the cost grows with shrunk VMs times all VMs, at the rate of reports. Not measured. Change: kStopInterval; room elsewhere is looked up after the cheaper conditions. Evidence: sched_test passes.

--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -107,7 +107,7 @@
 /// Applies an announcement of the worker. Ends all runs if the worker was
 /// replaced or restarted. Ignores an announcement that arrives after a later
 /// one of the same worker process.
-/// @return true if it was.
+/// @return true if the worker was replaced or restarted.
 bool ApplyWorkerHello(RunTable& table, MonotonicTime now,
                       const WorkerHello& hello);
 
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -158,6 +158,8 @@
   std::map<TaskKey, VmRun> runs;
   /// Since when the runs have reserved more than the worker's capacity.
   MonotonicTime over_capacity_since{};
+  /// Earliest time at which runs may be stopped for this reason.
+  MonotonicTime next_shrink_stop_at{};
 
   /// Jobs with a failed run on this VM since the last successful run.
   std::set<JobId> failing_jobs;
--- a/source/sched/shrink.cc
+++ b/source/sched/shrink.cc
@@ -12,6 +12,9 @@
 /// How long a VM must be over its capacity before runs are stopped: stopping
 /// them costs more than a capacity that is back within seconds.
 constexpr Duration kShrinkTolerance{3'000};
+/// Minimum time between two searches for runs to stop on one VM: each compares
+/// its runs with all other VMs.
+constexpr Duration kStopInterval{500};
 /// Runs that have completed at least this percentage are left to end.
 constexpr int64_t kNearlyDonePercent = 75;
 /// Runs without checkpoints are left to end if their declared run time ends
@@ -104,16 +107,14 @@
          HasRoomElsewhere(shard, vm, step);
 }
 
-/// @return true if a run may be stopped, apart from its step's disruption
-/// limit.
-bool IsStoppable(const ShardState& shard, const VmEntity& vm, const VmRun& run,
-                 const StepSpec& step, bool starved, MonotonicTime now) {
+/// @return true if a run may be stopped, except for the conditions that hold
+/// for lasting tasks only.
+bool IsStoppable(const VmRun& run, const StepSpec& step, bool starved,
+                 MonotonicTime now) {
   if (run.stop_wanted || run.phase != RunPhase::kRunning) return false;
   // A stop would end the other members as well.
   if (step.gang) return false;
-  // A lasting task without any other place keeps working here, if slowly.
-  if (step.lasting) return HasRoomElsewhere(shard, vm, step);
-  if (starved) return true;
+  if (step.lasting || starved) return true;
   if (run.percent >= kNearlyDonePercent) return false;
   return step.checkpoints ||
          run.running_since + Duration(step.estimate_ms) > now + kLeftToEnd;
@@ -128,7 +129,7 @@
     const StepSpec* step = FindStep(shard, key);
     if (step == nullptr) continue;
     const bool starved = IsStarved(shard, vm, run, *step);
-    if (!IsStoppable(shard, vm, run, *step, starved, now)) continue;
+    if (!IsStoppable(run, *step, starved, now)) continue;
     out.push_back(
         {key, &run, step, shard.jobs.at(key.job).terms.priority, starved});
   }
@@ -152,6 +153,8 @@
   }
   if (vm.over_capacity_since == MonotonicTime{}) vm.over_capacity_since = now;
   if (now - vm.over_capacity_since < kShrinkTolerance) return;
+  if (now < vm.next_shrink_stop_at) return;
+  vm.next_shrink_stop_at = now + kStopInterval;
   Resources free = vm.worker.capacity - ReservedCapacity(vm);
   for (const auto& [key, run] : vm.runs) {
     if (run.stop_wanted) free += ReservedSize(run);
@@ -162,6 +165,8 @@
     if (it.step->lasting) {
       if (now < shard.next_lasting_stop_at) continue;
       if (!MayDisrupt(shard, it.key, *it.step)) continue;
+      // Without another place, the task keeps working here, if slowly.
+      if (!HasRoomElsewhere(shard, vm, *it.step)) continue;
       shard.next_lasting_stop_at = now + kLastingStopInterval;
     }
     it.run->stop_wanted = true;
