--- a/source/sched/shard_state.cc
+++ b/source/sched/shard_state.cc
@@ -202,6 +202,23 @@
   run.tail_target_ms = step.tail_target_ms;
 }
 
+Resources ReservedCapacity(const VmEntity& vm) {
+  Resources sum;
+  for (const auto& [key, run] : vm.runs) {
+    Resources size = run.size;
+    if (run.filler) size.cpu = MilliCpu(0);
+    sum += size;
+  }
+  return sum;
+}
+
+bool IsOverCapacity(const VmEntity& vm) {
+  if (!Fits(ReservedCapacity(vm), vm.worker.capacity)) return true;
+  return vm.worker.capacity.cpu.value <= 0 &&
+         std::any_of(vm.runs.begin(), vm.runs.end(),
+                     [](const auto& it) { return it.second.filler; });
+}
+
 TaskEntity* FindTask(ShardState& shard, const TaskKey& key) {
   const auto job = shard.jobs.find(key.job);
   if (job == shard.jobs.end()) return nullptr;
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -240,6 +240,165 @@
   CHECK(BeginRenewal(table, kNow)->recorded == 0);
 }
 
+WorkerHello NumberedHello(uint64_t sequence, int64_t cpu,
+                          int64_t born_ms = 100) {
+  WorkerHello hello = Hello("w", born_ms);
+  hello.worker.capacity.cpu = MilliCpu(cpu);
+  hello.sequence = sequence;
+  return hello;
+}
+
+// Regression test: a heartbeat that was delayed in the network gave a worker
+// the capacity back that it no longer had.
+TEST_CASE("a late heartbeat does not restore an earlier capacity or state") {
+  RunTable table = Ready();
+  WorkerHello shrunk = NumberedHello(7, 1'000);
+  shrunk.worker.draining = true;
+  ApplyWorkerHello(table, kNow, shrunk);
+  const uint64_t version = table.version;
+  CHECK_FALSE(ApplyWorkerHello(table, kNow, NumberedHello(6, 4'000)));
+  CHECK(table.worker.capacity.cpu == MilliCpu(1'000));
+  CHECK(table.worker.draining);
+  CHECK(table.version == version);
+  ApplyWorkerHello(table, kNow, NumberedHello(8, 4'000));
+  CHECK(table.worker.capacity.cpu == MilliCpu(4'000));
+  CHECK_FALSE(table.worker.draining);
+}
+
+TEST_CASE("a restarted worker numbers its heartbeats from the beginning") {
+  RunTable table = Ready();
+  ApplyWorkerHello(table, kNow, NumberedHello(50, 1'000));
+  SUBCASE("when its heartbeat arrives first") {
+    CHECK(ApplyWorkerHello(table, kNow, NumberedHello(1, 4'000, 200)));
+  }
+  SUBCASE("when its listing arrives first") {
+    ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
+                       Listing(10, 200));
+    ApplyWorkerHello(table, kNow, NumberedHello(1, 4'000, 200));
+  }
+  CHECK(table.worker.capacity.cpu == MilliCpu(4'000));
+}
+
+TEST_CASE("heartbeats without a number are applied as they arrive") {
+  RunTable table = Ready();
+  ApplyWorkerHello(table, kNow, NumberedHello(50, 4'000));
+  WorkerHello unnumbered = NumberedHello(0, 1'000);
+  unnumbered.sequence.reset();
+  ApplyWorkerHello(table, kNow, unnumbered);
+  CHECK(table.worker.capacity.cpu == MilliCpu(1'000));
+  // A number says nothing without the time of the worker's start.
+  ApplyWorkerHello(table, kNow, NumberedHello(1, 2'000, 0));
+  CHECK(table.worker.capacity.cpu == MilliCpu(2'000));
+}
+
+void SetCapacity(RunTable& table, int64_t cpu) {
+  WorkerHello hello = Hello();
+  hello.worker.capacity.cpu = MilliCpu(cpu);
+  ApplyWorkerHello(table, kNow, hello);
+}
+
+TEST_CASE("an order that arrives after the capacity has shrunk is refused") {
+  RunTable table = Ready();
+  SetCapacity(table, 0);
+  Order(table, {Start(kTask, 1, 1'000)});
+  CHECK(table.runs.empty());
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].end == RunEnd::kNotStarted);
+  CHECK(Ends(table)[0].reason == "no room");
+}
+
+// Regression test: a run that had been admitted was started after the capacity
+// had shrunk below it.
+TEST_CASE("a run is not started once the capacity has shrunk below it") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1, 2'000), Start(kOther, 1, 2'000)});
+  SUBCASE("before its start call is sent") {
+    SetCapacity(table, 2'000);
+    CHECK(BeginStartCalls(table, kNow).size() == 1);
+  }
+  SUBCASE("before its start call is sent again") {
+    const auto calls = BeginStartCalls(table, kNow);
+    REQUIRE(calls.size() == 2);
+    FinishStartCall(table, kNow, calls[0], {});
+    FinishStartCall(table, kNow, calls[1], {CallOutcome::kFenced, "fence"});
+    SetCapacity(table, 2'000);
+    CHECK(BeginStartCalls(table, kNow).empty());
+  }
+  SUBCASE("while another start is unanswered") {
+    const auto calls = BeginStartCalls(table, kNow);
+    FinishStartCall(table, kNow, calls[0], {CallOutcome::kUnknown, ""});
+    FinishStartCall(table, kNow, calls[1], {CallOutcome::kFenced, "fence"});
+    SetCapacity(table, 2'000);
+    CHECK(BeginStartCalls(table, kNow).empty());
+  }
+  SUBCASE("while another run is being stopped") {
+    const auto calls = BeginStartCalls(table, kNow);
+    FinishStartCall(table, kNow, calls[0], {});
+    FinishStartCall(table, kNow, calls[1], {CallOutcome::kFenced, "fence"});
+    SyncRequest request = Request(table, table.batch + 1);
+    request.stops = {{kTask, RunNumber(1)}};
+    ApplySyncRequest(table, kNow, request);
+    FinishStopCall(table, kNow, BeginStopCalls(table, kNow)[0], {});
+    SetCapacity(table, 2'000);
+    CHECK(BeginStartCalls(table, kNow).empty());
+  }
+  CHECK(table.runs.size() == 1);
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].task == kOther);
+  CHECK(Ends(table)[0].end == RunEnd::kNotStarted);
+  CHECK(Ends(table)[0].reason == "no room");
+}
+
+TEST_CASE("a run that fits the capacity exactly is started again") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1, 2'000)});
+  const auto calls = BeginStartCalls(table, kNow);
+  FinishStartCall(table, kNow, calls[0], {CallOutcome::kFenced, "fence"});
+  SetCapacity(table, 2'000);
+  CHECK(BeginStartCalls(table, kNow).size() == 1);
+  CHECK(Ends(table).empty());
+}
+
+TEST_CASE("runs keep running when the capacity shrinks below them") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  SetCapacity(table, 0);
+  WorkerListing listing = Listing();
+  listing.running = {{kTask, RunNumber(1), "", 100, -1}};
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), listing);
+  CHECK(table.runs.at(kTask).phase == RunPhase::kRunning);
+  CHECK(Ends(table).empty());
+}
+
+TEST_CASE("a change of the capacity is reported and used at once") {
+  RunTable table = Ready();
+  SetCapacity(table, 0);
+  SyncRequest request = Request(table);
+  request.seen_version = MakeReport(table, kNow, request).version;
+  CHECK_FALSE(HasUnreportedChanges(table, request));
+  SetCapacity(table, 1'000);
+  CHECK(HasUnreportedChanges(table, request));
+  CHECK(MakeReport(table, kNow, request).worker.capacity.cpu ==
+        MilliCpu(1'000));
+  Order(table, {Start(kTask, 1, 1'000)});
+  CHECK(BeginStartCalls(table, kNow).size() == 1);
+}
+
+// Regression test: a restarted worker that listed its runs before it announced
+// itself was given starts by the capacity of the worker before it.
+TEST_CASE("a restarted worker starts nothing before it gives its capacity") {
+  RunTable table = Ready();
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), Listing(10, 200));
+  Order(table, {Start(kTask, 1, 4'000)});
+  CHECK(BeginStartCalls(table, kNow).empty());
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].reason == "no room");
+  ApplyWorkerHello(table, kNow, Hello("w", 200));
+  Order(table, {Start(kTask, 2, 4'000)});
+  CHECK(BeginStartCalls(table, kNow).size() == 1);
+}
+
 TEST_CASE("runs of an unresponsive worker end when all leases have expired") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
