Tasks that crash workers are isolated and given up

Cause: an end kWorkerLost counted nowhere, and a run whose start call was cut off by the crash was reported as not started. The task was placed again 3 ms after its worker was back, on any VM. Class of fault: a retry without a budget.

The agent reports for each run of a crashed worker how long it had been there and among how many it was started last; also for runs whose start call was not answered, and for runs that lapsed before the worker was heard again. A worker that announced its end did not crash. The planner records the runs started last as suspected, in the progress row (field 'crashes'), by run number, so that the count survives planner and store and a crash reported twice or late counts once. A suspect is started again where least is lost, at best on the restarted VM before anything else is placed there; nothing else starts on that VM until the suspect has run for 0.8 s, which clears it. Suspects hold at most a quarter of a service's VMs. A task is given up after two crashes if it was the only suspect of the last one, after three in any case.

Interface: two more elements in a reported run end (absent from older agents), field 'crashes' of a progress row (older planners drop it), log events 9109 to 9111.

Ending the runs when the worker's port refuses connections, before it is back: not tried, since a cut may refuse connections while the worker runs on.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -38,11 +38,11 @@
 
 void AddEnd(RunTable& table, const TaskKey& task, RunNumber run, RunEnd end,
             std::string checkpoint, std::string reason,
-            uint64_t worker_number = 0) {
+            uint64_t worker_number = 0, const CrashEvidence& crash = {}) {
   ++table.version;
   UnrecordedEnd entry;
-  entry.report = {++table.last_end, task, run, end, std::move(checkpoint),
-                  std::move(reason)};
+  entry.report = {++table.last_end,  task, run, end, std::move(checkpoint),
+                  std::move(reason), crash};
   entry.worker_number = worker_number;
   table.ends.push_back(std::move(entry));
 }
@@ -56,13 +56,60 @@
   table.runs.erase(it);
 }
 
-void EndAllRunsLocally(RunTable& table, RunEnd end, const std::string& reason) {
+/// @return true if the worker may have executed the run's start.
+bool MayHaveStarted(const AgentRun& run) {
+  return run.phase != RunPhase::kStarting || run.call_in_flight ||
+         run.start_unanswered;
+}
+
+/// Ends the runs of a worker that was replaced.
+void EndRunsOfFormerWorker(RunTable& table) {
+  constexpr const char* kReason = "the worker was replaced";
+  std::vector<LapsedRun> on_worker = std::exchange(table.lapsed, {});
+  for (auto& [task, run] : table.runs) {
+    if (!MayHaveStarted(run)) {
+      AddEnd(table, task, run.order.run, RunEnd::kNotStarted, run.checkpoint,
+             kReason);
+      continue;
+    }
+    on_worker.push_back(
+        {task, run.order.run, run.start_sent_at, std::move(run.checkpoint)});
+  }
+  table.runs.clear();
+  MonotonicTime last_start{};
+  for (const LapsedRun& run : on_worker) {
+    last_start = std::max(last_start, run.start_sent_at);
+  }
+  const auto is_suspect = [&](const LapsedRun& run) {
+    return last_start - run.start_sent_at <= kCrashSuspectWindow;
+  };
+  const auto suspects =
+      std::count_if(on_worker.begin(), on_worker.end(), is_suspect);
+  // A worker that announced its end did not crash.
+  const bool crashed = !table.worker.draining;
+  for (LapsedRun& run : on_worker) {
+    CrashEvidence crash;
+    if (crashed) {
+      const Duration age = table.worker_heard_at - run.start_sent_at;
+      crash.run_age_ms = std::max<int64_t>(0, age.count());
+      if (is_suspect(run)) crash.suspects = static_cast<uint32_t>(suspects);
+    }
+    AddEnd(table, run.task, run.run, RunEnd::kWorkerLost,
+           std::move(run.checkpoint), kReason, 0, crash);
+  }
+}
+
+void EndAllRunsAsLapsed(RunTable& table) {
   while (!table.runs.empty()) {
-    const RunEnd run_end =
-        table.runs.begin()->second.phase == RunPhase::kStarting
-            ? RunEnd::kNotStarted
-            : end;
-    EndRunLocally(table, table.runs.begin(), run_end, reason);
+    const auto it = table.runs.begin();
+    const AgentRun& run = it->second;
+    if (MayHaveStarted(run)) {
+      table.lapsed.push_back(
+          {it->first, run.order.run, run.start_sent_at, run.checkpoint});
+    }
+    const RunEnd end = run.phase == RunPhase::kStarting ? RunEnd::kNotStarted
+                                                        : RunEnd::kLapsed;
+    EndRunLocally(table, it, end, "the worker is silent");
   }
 }
 
@@ -212,6 +259,7 @@
     run.order.task = listed.task;
     run.order.run = listed.run;
     run.size_known = false;
+    run.start_sent_at = now;
   }
   if (run.order.run != listed.run) return;
   const bool started = is_new || run.phase == RunPhase::kStarting;
@@ -268,7 +316,7 @@
 }
 
 void ReplaceWorker(RunTable& table) {
-  EndAllRunsLocally(table, RunEnd::kWorkerLost, "the worker was replaced");
+  EndRunsOfFormerWorker(table);
   for (UnrecordedEnd& end : table.ends) end.worker_number = 0;
   table.worker_end_seen = 0;
   table.worker_end_recorded = 0;
@@ -368,6 +416,7 @@
       } else {
         run.call_in_flight = true;
         run.call_fencing = table.fencing;
+        run.start_sent_at = now;
         out.push_back({MakeCall(table),
                        {run.order.task, run.order.run, run.order.payload,
                         run.order.checkpoint, run.order.permit},
@@ -398,6 +447,7 @@
   if (run.phase != RunPhase::kStarting) return;
   switch (result.outcome) {
     case CallOutcome::kOk:
+      table.worker_heard_at = now;
       run.phase = RunPhase::kRunning;
       run.confirmed_at = now;
       MarkChanged(table, run);
@@ -504,6 +554,8 @@
   table.clock_known = true;
   table.clock_ms = listing.clock_ms;
   table.clock_at = now;
+  table.worker_heard_at = now;
+  table.lapsed.clear();
   SetResponsive(table, true);
   if (!table.settled) ++table.version;
   table.settled = true;
@@ -545,7 +597,7 @@
   const Duration drift =
       (sent_until - table.clock_at) * kClockDriftPercent / 100;
   if (now <= sent_until + drift) return;
-  EndAllRunsLocally(table, RunEnd::kLapsed, "the worker is silent");
+  EndAllRunsAsLapsed(table);
 }
 
 }  // namespace almondtally::sched
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -26,6 +26,8 @@
   /// effect.
   bool start_unanswered = false;
   uint64_t call_fencing = 0;
+  /// When the last start call was sent, or when the run was first listed.
+  MonotonicTime start_sent_at{};
   /// When the worker confirmed the start.
   MonotonicTime confirmed_at{};
   bool stop_requested = false;
@@ -50,6 +52,16 @@
   uint64_t worker_number = 0;
 };
 
+/// A run that ended because the worker was unresponsive until the leases
+/// expired. If the worker turns out to have crashed, the run is reported again
+/// with the evidence.
+struct LapsedRun {
+  TaskKey task;
+  RunNumber run;
+  MonotonicTime start_sent_at{};
+  std::string checkpoint;
+};
+
 /// The worker's announcement of itself.
 struct WorkerHello {
   WorkerReport worker;
@@ -89,7 +101,12 @@
   MonotonicTime lease_sent_until{};
   std::multiset<MonotonicTime> leases_in_flight;
 
+  /// When the worker last answered a call.
+  MonotonicTime worker_heard_at{};
+
   std::map<TaskKey, AgentRun> runs;
+  /// Runs of the present worker process that lapsed since it last answered.
+  std::vector<LapsedRun> lapsed;
   std::deque<UnrecordedEnd> ends;
   uint64_t last_end = 0;
   uint64_t worker_end_seen = 0;
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -264,6 +264,13 @@
        "a run is stopped so that it can resume elsewhere, with the reason"},
       {Event::kFillersPaced, "fillers.paced", kPlanning, kInfo,
        "the speed limit of a VM's filler tasks changed"},
+      {Event::kTaskSuspected, "task.suspected", kPlanning, kWarning,
+       "a worker crashed soon after it started the task; age is the time "
+       "between the two"},
+      {Event::kTaskCleared, "task.cleared", kPlanning, kInfo,
+       "a suspected task has run for a while and the worker has not crashed"},
+      {Event::kTaskGivenUp, "task.given_up", kPlanning, kWarning,
+       "a task is proven to crash workers; its job has failed"},
       {Event::kVmListed, "vm.listed", kPlanning, kInfo,
        "an agent's row was read"},
       {Event::kVmSynced, "vm.synced", kPlanning, kInfo,
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -236,6 +236,12 @@
           return Event::kFillersPaced;
         case Decision::Kind::kAdopted:
           return Event::kRunAdopted;
+        case Decision::Kind::kSuspected:
+          return Event::kTaskSuspected;
+        case Decision::Kind::kCleared:
+          return Event::kTaskCleared;
+        case Decision::Kind::kGivenUp:
+          return Event::kTaskGivenUp;
       }
       return Event::kRunPlaced;
     }();
--- a/source/sched/detail.h
+++ b/source/sched/detail.h
@@ -16,6 +16,32 @@
 void UpdateModelsFromReport(ShardState& shard, MonotonicTime now, VmEntity& vm,
                             const SyncReport& report);
 
+/// Marks the progress row of a job as changed.
+void MarkDirty(ShardState& shard, const JobId& job);
+
+// Tasks suspected of crashing workers.
+
+/// Records that the worker crashed during a run, if the run is a suspect. Ends
+/// the job if the task is proven to crash workers.
+void ProcessWorkerCrash(ShardState& shard, MonotonicTime now, JobEntity& job,
+                        TaskEntity& task, VmEntity& vm, const RunEndReport& end,
+                        Decisions& log);
+
+/// Clears the suspects whose runs on a VM have not crashed its worker.
+/// @param vm has just reported.
+void ClearProvenSuspects(ShardState& shard, MonotonicTime now,
+                         const VmEntity& vm, Decisions& log);
+
+/// @return true if a run on the VM is a suspect that has not been cleared.
+bool IsTestingSuspect(const ShardState& shard, const VmEntity& vm);
+
+/// @return true if a task of the step is a suspect.
+bool HasSuspect(const ShardState& shard, const TaskKey& first_of_step);
+
+/// @return how many VMs of a service may run suspects at a time, beyond those
+/// that do.
+size_t CountFreeSuspectSlots(const ShardState& shard, const ServiceId& service);
+
 /// Ends a job: its tasks are no longer placed, and its runs are stopped.
 void EndJob(ShardState& shard, MonotonicTime now, JobEntity& job,
             JobState state);
--- a/source/sched/job.cc
+++ b/source/sched/job.cc
@@ -108,7 +108,10 @@
       kProgressBytesPerFailedTask +
       kProgressBytesPerFailure *
           std::max<uint32_t>(1, record.terms.max_attempts);
-  const size_t progress = kProgressRowBytes +
+  const size_t bytes_of_crashes =
+      kMaxStoredSuspects *
+      (kProgressBytesPerFailedTask + kProgressBytesPerFailure * kMaxCrashes);
+  const size_t progress = kProgressRowBytes + bytes_of_crashes +
                           spec.occurrence_count() * bytes_per_occurrence +
                           tasks * bytes_per_task;
   if (progress > kMaxRowBytes || EncodeRow(record).size() > kMaxRowBytes) {
--- a/source/sched/job.h
+++ b/source/sched/job.h
@@ -163,17 +163,17 @@
 /// @return true if the job has ended, so that its state can no longer change.
 inline bool IsFinal(JobState state) { return state >= JobState::kCompleted; }
 
-/// Failed runs of one task. Their numbers are kept instead of a count because a
-/// worker may report the same end again, and the end of an earlier run may
-/// arrive after that of a later one.
-struct TaskFailures {
+/// Runs of one task that count against it. Their numbers are kept instead of a
+/// count because a worker may report the same end again, and the end of an
+/// earlier run may arrive after that of a later one.
+struct TaskRuns {
   uint32_t index = 0;
   std::vector<RunNumber> runs;
 };
-inline void to_json(nlohmann::json& out, const TaskFailures& it) {
+inline void to_json(nlohmann::json& out, const TaskRuns& it) {
   out = {it.index, it.runs};
 }
-inline void from_json(const nlohmann::json& in, TaskFailures& it) {
+inline void from_json(const nlohmann::json& in, TaskRuns& it) {
   in.at(0).get_to(it.index);
   in.at(1).get_to(it.runs);
 }
@@ -184,10 +184,19 @@
   uint32_t step = 0;
   /// One character per task: '1' if it is done, otherwise '0'.
   std::string done;
-  std::vector<TaskFailures> failures;
+  std::vector<TaskRuns> failures;
+  /// Runs that are suspected of having crashed their worker.
+  std::vector<TaskRuns> crashes;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StepProgress, occurrence, step,
-                                                done, failures)
+                                                done, failures, crashes)
+
+/// Number of tasks of a job whose crashes are stored. Bounds the progress row;
+/// the crashes of further tasks are forgotten when the planner changes.
+inline constexpr size_t kMaxStoredSuspects = 64;
+/// A task is given up after this many runs that are suspected of having crashed
+/// their worker.
+inline constexpr size_t kMaxCrashes = 3;
 
 /// Progress row of a job in the store. It does not exist until there is
 /// something to record.
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -145,6 +145,22 @@
   in.at(7).get_to(it.unsized);
 }
 
+/// Evidence whether a run crashed its worker.
+struct CrashEvidence {
+  /// How long the run had been on the worker at the worker's last sign of life,
+  /// in ms; negative if the worker did not crash.
+  int64_t run_age_ms = -1;
+  /// Number of runs, including this one, that were started last, within
+  /// kCrashSuspectWindow of each other; 0 if this run was started earlier.
+  uint32_t suspects = 0;
+
+  bool operator==(const CrashEvidence&) const = default;
+};
+
+/// Runs of a crashed worker that were started within this time before the last
+/// one are equally suspected.
+inline constexpr Duration kCrashSuspectWindow{250};
+
 /// End of a run on a VM, reported by its agent.
 struct RunEndReport {
   /// Sequence number of the end within one agent process, from 1.
@@ -153,10 +169,18 @@
   RunNumber run;
   RunEnd end = RunEnd::kDone;
   std::string checkpoint;
-  std::string reason;
+  std::string reason{};
+  CrashEvidence crash{};
 };
 inline void to_json(nlohmann::json& out, const RunEndReport& it) {
-  out = {it.number, it.task, it.run, it.end, it.checkpoint, it.reason};
+  out = {it.number,
+         it.task,
+         it.run,
+         it.end,
+         it.checkpoint,
+         it.reason,
+         it.crash.run_age_ms,
+         it.crash.suspects};
 }
 inline void from_json(const nlohmann::json& in, RunEndReport& it) {
   in.at(0).get_to(it.number);
@@ -165,6 +189,11 @@
   in.at(3).get_to(it.end);
   in.at(4).get_to(it.checkpoint);
   in.at(5).get_to(it.reason);
+  // Agents of earlier versions send no evidence.
+  constexpr size_t kFieldsWithEvidence = 8;
+  if (in.size() < kFieldsWithEvidence) return;
+  in.at(6).get_to(it.crash.run_age_ms);
+  in.at(7).get_to(it.crash.suspects);
 }
 
 /// State of a VM's worker, reported by its agent.
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "sched/detail.h"
 #include "sched/rank.h"
 #include "sched/room.h"
 #include "sched/shard_state.h"
@@ -42,6 +43,10 @@
   int64_t filler_cpu = 0;
   /// The VM's serving tasks; empty until they are needed.
   std::optional<std::vector<ServingTask>> serving;
+  /// A suspect runs here, so that no other task may start.
+  bool testing_suspect = false;
+  /// Only suspects may start here.
+  bool reserved_for_suspects = false;
 };
 
 /// A request that no VM could satisfy in this pass.
@@ -82,6 +87,8 @@
     candidate.vm = &vm;
     candidate.free = worker.capacity;
     candidate.idle_cpu = worker.capacity.cpu.value;
+    candidate.testing_suspect = IsTestingSuspect(shard, vm);
+    candidate.reserved_for_suspects = vm.reserved_for_suspects_until > now;
     for (const auto& [task, run] : vm.runs) {
       Resources size = run.size;
       if (run.filler) {
@@ -166,6 +173,11 @@
              labels.end();
 }
 
+/// @return true if tasks that are not suspected of crashing workers may start.
+bool IsOpenToInnocent(const CandidateVm& candidate) {
+  return !candidate.testing_suspect && !candidate.reserved_for_suspects;
+}
+
 /// @return true unless the VM has an earlier run of the task, or as many tasks
 /// of the step as allowed.
 bool IsOpenToTask(const CandidateVm& candidate, const StepSpec& step,
@@ -244,6 +256,7 @@
   bool ruled_out_by_serving = false;
   bool closed_to_task = false;
   for (CandidateVm& candidate : pass.candidates) {
+    if (!IsOpenToInnocent(candidate)) continue;
     if (!HasRoom(candidate, terms, step)) continue;
     if (!IsOpenToTask(candidate, step, key)) {
       closed_to_task = true;
@@ -322,9 +335,14 @@
                          .steps[ready_step.step];
   TaskKey key{ready_step.job->record.spec.id, ready_step.occurrence,
               ready_step.step, 0};
+  const bool has_suspect = HasSuspect(shard, key);
+  // The tasks of a step are alike, and its job cannot end before the suspect
+  // does.
+  if (has_suspect && !spec.lasting) return;
   for (; key.index < step.tasks.size(); ++key.index) {
     TaskEntity& task = step.tasks[key.index];
     if (task.phase != TaskPhase::kIdle || task.not_before > now) continue;
+    if (has_suspect && shard.suspects.contains(key)) continue;
     CandidateVm* candidate =
         ChooseVm(shard, now, pass, ready_step.job->terms, spec, key, task);
     if (candidate == nullptr) {
@@ -339,6 +357,59 @@
   }
 }
 
+/// @return the CPU, in thousandths, of the runs that a crash of the worker
+/// would end. Lasting tasks count more, since their users notice.
+int64_t LossOnCrash(const VmEntity& vm, const ShardState& shard) {
+  constexpr int64_t kLastingFactor = 10;
+  int64_t sum = 0;
+  for (const auto& [key, run] : vm.runs) {
+    const StepSpec* step = FindStep(shard, key);
+    const bool lasting = step != nullptr && step->lasting;
+    sum += run.size.cpu.value * (lasting ? kLastingFactor : 1);
+  }
+  return sum;
+}
+
+/// Places the idle suspects of a step, each on the VM where a crash does least
+/// harm.
+void PlaceSuspects(ShardState& shard, MonotonicTime now,
+                   const ReadyStep& ready_step, PlacementPass& pass,
+                   Decisions& log) {
+  const StepSpec& spec = ready_step.job->record.spec.steps[ready_step.step];
+  const QueueTerms& terms = ready_step.job->terms;
+  auto& tasks = ready_step.job->occurrences.at(ready_step.occurrence)
+                    .steps[ready_step.step]
+                    .tasks;
+  const TaskKey first{ready_step.job->record.spec.id, ready_step.occurrence,
+                      ready_step.step, 0};
+  if (spec.gang || !HasSuspect(shard, first)) return;
+  size_t slots = CountFreeSuspectSlots(shard, terms.service);
+  TaskKey key = first;
+  for (; key.index < tasks.size() && slots > 0; ++key.index) {
+    TaskEntity& task = tasks[key.index];
+    if (task.phase != TaskPhase::kIdle || task.not_before > now) continue;
+    if (!shard.suspects.contains(key)) continue;
+    CandidateVm* best = nullptr;
+    int64_t least_loss = 0;
+    for (CandidateVm& candidate : pass.candidates) {
+      if (candidate.testing_suspect || !HasRoom(candidate, terms, spec) ||
+          !IsOpenToTask(candidate, spec, key)) {
+        continue;
+      }
+      const int64_t loss = LossOnCrash(*candidate.vm, shard);
+      if (best != nullptr && loss >= least_loss) continue;
+      best = &candidate;
+      least_loss = loss;
+    }
+    if (best == nullptr) return;
+    Reserve(shard, *best, spec);
+    best->testing_suspect = true;
+    AssignTask(shard, now, *best->vm, spec, key, task,
+               NextRunNumber(shard, task.run), log);
+    --slots;
+  }
+}
+
 /// Places all tasks of a gang, or none.
 void PlaceGang(ShardState& shard, MonotonicTime now,
                const ReadyStep& ready_step,
@@ -364,6 +435,7 @@
     for (key.index = 0; key.index < step.tasks.size(); ++key.index) {
       CandidateVm* best = nullptr;
       for (CandidateVm& candidate : candidates) {
+        if (!IsOpenToInnocent(candidate)) continue;
         if (spec.one_rack && candidate.vm->worker.rack != rack) continue;
         if (!HasRoom(candidate, ready_step.job->terms, spec)) continue;
         if (!IsOpenToTask(candidate, spec, key)) continue;
@@ -399,6 +471,9 @@
   if (ready_steps.empty()) return;
   PlacementPass pass;
   pass.candidates = ListCandidateVms(shard, now);
+  for (const ReadyStep& it : ready_steps) {
+    PlaceSuspects(shard, now, it, pass, log);
+  }
   for (const ReadyStep& it : ready_steps) {
     if (it.job->record.spec.steps[it.step].gang) {
       PlaceGang(shard, now, it, pass.candidates, log);
--- a/source/sched/records.cc
+++ b/source/sched/records.cc
@@ -8,6 +8,7 @@
     out.state = job.state;
     out.ended_at_ms = job.ended_at_ms;
   }
+  size_t suspects = 0;
   for (const auto& [number, occurrence] : job.occurrences) {
     for (uint32_t i = 0; i < occurrence.steps.size(); ++i) {
       StepProgress row;
@@ -18,10 +19,15 @@
         const TaskEntity& task = occurrence.steps[i].tasks[k];
         const bool done = task.phase == TaskPhase::kDone;
         row.done += done ? '1' : '0';
-        has_progress = has_progress || done || !task.failed_runs.empty();
+        has_progress = has_progress || done || !task.failed_runs.empty() ||
+                       !task.crashed_runs.empty();
         if (!task.failed_runs.empty() && !done) {
           row.failures.push_back({k, task.failed_runs});
         }
+        if (!task.crashed_runs.empty() && !done &&
+            ++suspects <= kMaxStoredSuspects) {
+          row.crashes.push_back({k, task.crashed_runs});
+        }
       }
       if (has_progress) out.steps.push_back(std::move(row));
     }
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -27,11 +27,6 @@
   return it == shard.jobs.end() ? nullptr : &it->second;
 }
 
-void MarkDirty(ShardState& shard, const JobId& job) {
-  shard.dirty.insert(job);
-  ++shard.change;
-}
-
 /// Stops all runs of a task except the one on VM `except`.
 void StopRuns(ShardState& shard, const TaskKey& task, const VmId& except) {
   for (auto& [id, vm] : shard.vms) {
@@ -45,6 +40,7 @@
   if (task.phase == TaskPhase::kDone) return;
   task.phase = TaskPhase::kDone;
   task.vm = {};
+  shard.suspects.erase(key);
   auto& occurrence = job.occurrences.at(key.occurrence);
   StepEntity& step = occurrence.steps[key.step];
   const StepSpec& spec = job.record.spec.steps[key.step];
@@ -171,6 +167,8 @@
   TaskEntity* task = FindTask(shard, end.task);
   if (job == nullptr || task == nullptr || IsFinal(job->state)) return;
   if (task->phase == TaskPhase::kDone || IsFailureRecorded(*task, end)) return;
+  ProcessWorkerCrash(shard, now, *job, *task, vm, end, log);
+  if (IsFinal(job->state)) return;
   const bool is_current = task->phase == TaskPhase::kPlaced &&
                           task->vm == vm.id && task->run == end.run;
   // A run that an earlier planner started, or one on a VM that was considered
@@ -330,6 +328,7 @@
   }
   for (const RunReport& run : report.runs) ProcessRun(shard, now, vm, run, log);
   RemoveMissingRuns(shard, now, vm, report);
+  ClearProvenSuspects(shard, now, vm, log);
   UpdateModelsFromReport(shard, now, vm, report);
   vm.seen_version = report.version;
   ReleaseRecordedEnds(shard, vm);
--- a/source/sched/shard_state.cc
+++ b/source/sched/shard_state.cc
@@ -38,6 +38,13 @@
   return Duration(static_cast<int64_t>(stretched) + terms.latency_target_ms);
 }
 
+void RemoveSuspects(ShardState& shard, const JobId& job) {
+  const auto first = shard.suspects.lower_bound(TaskKey{job, 0, 0, 0});
+  auto last = first;
+  while (last != shard.suspects.end() && last->job == job) ++last;
+  shard.suspects.erase(first, last);
+}
+
 }  // namespace
 
 void UpdateReadySteps(const JobSpec& spec, OccurrenceEntity& occurrence,
@@ -93,13 +100,25 @@
       ++step.done;
       job.started = true;
     }
-    for (const TaskFailures& failed : row.failures) {
-      if (failed.index >= step.tasks.size() || failed.runs.empty()) continue;
-      TaskEntity& task = step.tasks[failed.index];
-      task.failed_runs = failed.runs;
-      task.run = *std::max_element(failed.runs.begin(), failed.runs.end());
+    const auto restore = [&](const TaskRuns& stored,
+                             std::vector<RunNumber> TaskEntity::*runs) {
+      if (stored.index >= step.tasks.size() || stored.runs.empty())
+        return false;
+      TaskEntity& task = step.tasks[stored.index];
+      task.*runs = stored.runs;
+      const RunNumber last =
+          *std::max_element(stored.runs.begin(), stored.runs.end());
+      task.run = std::max(task.run, last);
       task.last_ended_run = task.run;
       job.started = true;
+      return true;
+    };
+    for (const TaskRuns& failed : row.failures) {
+      restore(failed, &TaskEntity::failed_runs);
+    }
+    for (const TaskRuns& crashed : row.crashes) {
+      if (!restore(crashed, &TaskEntity::crashed_runs)) continue;
+      shard.suspects.insert({spec.id, row.occurrence, row.step, crashed.index});
     }
   }
   for (auto& [number, occurrence] : job.occurrences) {
@@ -118,12 +137,19 @@
   job.ended_at = std::min(now, FromUnix(shard, progress.ended_at_ms));
   shard.ended.push_back(spec.id);
   shard.open_jobs.erase(spec.id);
+  RemoveSuspects(shard, spec.id);
 }
 
 void RemoveJob(ShardState& shard, const JobId& job) {
   shard.jobs.erase(job);
   shard.open_jobs.erase(job);
   shard.dirty.erase(job);
+  RemoveSuspects(shard, job);
+}
+
+void MarkDirty(ShardState& shard, const JobId& job) {
+  shard.dirty.insert(job);
+  ++shard.change;
 }
 
 void EndJob(ShardState& shard, MonotonicTime now, JobEntity& job,
@@ -133,10 +159,10 @@
   job.ended_at = now;
   job.ended_at_ms = shard.unix_offset_ms + now.time_since_epoch().count();
   const JobId& id = job.record.spec.id;
-  shard.dirty.insert(id);
-  ++shard.change;
+  MarkDirty(shard, id);
   shard.ended.push_back(id);
   shard.open_jobs.erase(id);
+  RemoveSuspects(shard, id);
   shard.loads.erase(id);
   for (auto& [vm_id, vm] : shard.vms) {
     for (auto it = vm.runs.lower_bound(TaskKey{id, 0, 0, 0});
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -37,6 +37,8 @@
   VmId vm;
   /// Failed runs that count as attempts, in the order they were reported.
   std::vector<RunNumber> failed_runs;
+  /// Runs that are suspected of having crashed their worker.
+  std::vector<RunNumber> crashed_runs;
   std::string checkpoint;
   /// Earliest time of the next placement.
   MonotonicTime not_before{};
@@ -160,6 +162,9 @@
   /// Jobs with a failed run on this VM since the last successful run.
   std::set<JobId> failing_jobs;
   MonotonicTime set_aside_until{};
+  /// Until then, only tasks suspected of having crashed the VM's worker are
+  /// placed here: nothing is lost if they crash it again.
+  MonotonicTime reserved_for_suspects_until{};
 
   /// When the VM became known to this planner.
   MonotonicTime listed_at{};
@@ -182,6 +187,8 @@
   /// Jobs that have not ended, a small part of `jobs`: ended ones are kept for
   /// minutes.
   std::set<JobId> open_jobs;
+  /// Tasks of open jobs that are suspected of crashing workers.
+  std::set<TaskKey> suspects;
   std::map<VmId, VmEntity> vms;
   std::map<QueueId, QueueTerms> queues;
   Duration tail_limit = kDefaultTailLimit;
@@ -212,6 +219,9 @@
     kTakenBack,
     kPaced,
     kAdopted,
+    kSuspected,
+    kCleared,
+    kGivenUp,
   };
   Kind kind = Kind::kPlaced;
   TaskKey task;
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -240,6 +240,103 @@
   CHECK(BeginRenewal(table, kNow)->recorded == 0);
 }
 
+// A task that crashes the worker at once leaves its start call unanswered; such
+// runs were reported as not started and counted nowhere.
+TEST_CASE("a run whose start call was cut off by a crash is a suspect") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1), Start(kOther, 1)});
+  const auto calls = BeginStartCalls(table, kNow);
+  REQUIRE(calls.size() == 2);
+  RunEnd expected = RunEnd::kWorkerLost;
+  CrashEvidence crash{0, 1};
+  SUBCASE("in flight") {}
+  SUBCASE("unanswered") {
+    FinishStartCall(table, kNow, calls[0], {CallOutcome::kUnknown, "lost"});
+  }
+  SUBCASE("it was rejected before, so that it is due again") {
+    FinishStartCall(table, kNow, calls[0], {CallOutcome::kFenced, "fence"});
+    expected = RunEnd::kNotStarted;
+    crash = {};
+  }
+  FinishStartCall(table, kNow, calls[1], {CallOutcome::kRejected, "room"});
+  ApplyWorkerHello(table, kNow + Duration(3'000), Hello("w", 200));
+  const auto ends = Ends(table);
+  REQUIRE(ends.size() == 2);
+  CHECK(ends[1].task == kTask);
+  CHECK(ends[1].end == expected);
+  CHECK(ends[1].crash == crash);
+}
+
+TEST_CASE("runs started well before the last one are not suspects") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  Duration between = kCrashSuspectWindow;
+  uint32_t suspects = 2;
+  SUBCASE("within the window") {}
+  SUBCASE("earlier") {
+    between += Duration(1);
+    suspects = 1;
+  }
+  const MonotonicTime later = kNow + between;
+  Order(table, {Start(kOther, 1)});
+  FinishStartCall(table, later, BeginStartCalls(table, later)[0], {});
+  const MonotonicTime heard = later + Duration(40);
+  WorkerListing listing = Listing();
+  listing.running = {{kTask, RunNumber(1), "", 100},
+                     {kOther, RunNumber(1), "", 100}};
+  ApplyWorkerListing(table, heard, *BeginRenewal(table, heard), listing);
+  ApplyWorkerHello(table, later + Duration(3'000), Hello("w", 200));
+  const auto ends = Ends(table);
+  REQUIRE(ends.size() == 2);
+  CHECK(ends[0].crash.suspects == (suspects == 2 ? 2 : 0));
+  CHECK(ends[1].crash.suspects == suspects);
+  CHECK(ends[1].crash.run_age_ms == 40);
+}
+
+TEST_CASE("a worker that announced its end did not crash") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  WorkerHello draining = Hello();
+  draining.worker.draining = true;
+  ApplyWorkerHello(table, kNow, draining);
+  ApplyWorkerHello(table, kNow, Hello("next", 200));
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].end == RunEnd::kWorkerLost);
+  CHECK(Ends(table)[0].crash == CrashEvidence{});
+}
+
+// A worker that is away for longer than its leases hides who crashed it.
+TEST_CASE("a crash is reported also after the leases have expired") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  const auto calls = BeginStartCalls(table, kNow);
+  SUBCASE("the start was answered") {
+    FinishStartCall(table, kNow, calls[0], {});
+  }
+  SUBCASE("the start was not answered") {
+    FinishStartCall(table, kNow, calls[0], {CallOutcome::kUnknown, "lost"});
+  }
+  HandleRenewalFailure(table, kNow, *BeginRenewal(table, kNow),
+                       {CallOutcome::kUnknown, "timeout"});
+  const MonotonicTime expired = kNow + kLeaseGrantDuration + Duration(200);
+  ExpireLeases(table, expired);
+  REQUIRE(table.runs.empty());
+  bool crashed = true;
+  SUBCASE("the worker restarts") {}
+  SUBCASE("the worker answers again") {
+    ApplyWorkerListing(table, expired, *BeginRenewal(table, expired),
+                       Listing());
+    crashed = false;
+  }
+  ApplyWorkerHello(table, expired, Hello("w", 200));
+  const auto ends = Ends(table);
+  REQUIRE(ends.size() == (crashed ? 2 : 1));
+  CHECK(ends[0].crash == CrashEvidence{});
+  if (crashed) CHECK(ends[1].crash.suspects == 1);
+}
+
 TEST_CASE("runs of an unresponsive worker end when all leases have expired") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
--- /dev/null
+++ b/tests/sched/suspects_test.cc
@@ -0,0 +1,324 @@
+#include <doctest/doctest.h>
+
+#include "sched/shard_state.h"
+#include "sched/shard_state_builder.h"
+
+namespace almondtally::sched {
+namespace {
+
+constexpr CrashEvidence kOnlySuspect{10, 1};
+constexpr CrashEvidence kOneOfTwo{10, 2};
+constexpr Duration kLater{1'000};
+
+struct CrashedRun {
+  TaskKey task;
+  CrashEvidence evidence;
+};
+
+/// Reports that the VM's worker crashed under its present runs of these tasks.
+void CrashWorker(ShardState& shard, VmEntity& vm, MonotonicTime now,
+                 const std::vector<CrashedRun>& runs,
+                 RunEnd end = RunEnd::kWorkerLost) {
+  SyncReport report = Report(vm, vm.worker.capacity.cpu.value);
+  uint64_t number = vm.seen_end;
+  for (const CrashedRun& it : runs) {
+    report.ends.push_back({++number, it.task, FindTask(shard, it.task)->run,
+                           end, "", "", it.evidence});
+  }
+  Decisions log;
+  ApplyReport(shard, now, vm, report, log);
+}
+
+VmEntity* VmOf(ShardState& shard, const TaskKey& task) {
+  for (auto& [id, vm] : shard.vms) {
+    if (vm.runs.contains(task)) return &vm;
+  }
+  return nullptr;
+}
+
+void AddVms(ShardState& shard, size_t count, int64_t cpu = 4'000) {
+  for (size_t i = 0; i < count; ++i)
+    AddVm(shard, "vm" + std::to_string(i), cpu);
+}
+
+/// Places the task, starts it and crashes its worker.
+void CrashOnce(ShardState& shard, MonotonicTime now, const TaskKey& task,
+               const CrashEvidence& evidence) {
+  Place(shard, now);
+  VmEntity* const vm = VmOf(shard, task);
+  REQUIRE(vm != nullptr);
+  ReportAllRunning(shard, *vm, now);
+  CrashWorker(shard, *vm, now, {{task, evidence}});
+}
+
+// Issue 26, BUDGET: one task crashed fourteen workers one after the other.
+TEST_CASE("a task that crashes each worker is given up after two crashes") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 4);
+  StepSpec step = Step(1, 1'000);
+  SUBCASE("a task that ends") {}
+  SUBCASE("a lasting task") { step.lasting = true; }
+  JobEntity& job = AcceptJob(shard, "j", {step}, 0, 4);
+  CrashOnce(shard, kNow, Key("j", 0, 0), kOnlySuspect);
+  CHECK(job.state == JobState::kPending);
+  CrashOnce(shard, kNow + kLater, Key("j", 0, 0), kOnlySuspect);
+  CHECK(job.state == JobState::kFailed);
+  Place(shard, kNow + 2 * kLater);
+  CHECK(VmOf(shard, Key("j", 0, 0)) == nullptr);
+}
+
+TEST_CASE("a task is given up after three crashes even beside other suspects") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 4);
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  CrashOnce(shard, kNow, Key("j", 0, 0), kOneOfTwo);
+  CrashOnce(shard, kNow + kLater, Key("j", 0, 0), kOneOfTwo);
+  CHECK(job.state == JobState::kPending);
+  CrashOnce(shard, kNow + 2 * kLater, Key("j", 0, 0), kOneOfTwo);
+  CHECK(job.state == JobState::kFailed);
+}
+
+TEST_CASE("a crash that is reported twice counts once") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 1);
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  CrashOnce(shard, kNow, Key("j", 0, 0), kOnlySuspect);
+  VmEntity& vm = shard.vms.begin()->second;
+  SUBCASE("by the same agent") {
+    CrashWorker(shard, vm, kNow, {{Key("j", 0, 0), kOnlySuspect}});
+  }
+  SUBCASE("by the next agent process") {
+    SyncReport report = Report(vm);
+    report.life = AgentIncarnation(8);
+    report.complete = true;
+    report.ends.push_back({1, Key("j", 0, 0), RunNumber(1), RunEnd::kWorkerLost,
+                           "", "", kOnlySuspect});
+    Decisions log;
+    ApplyReport(shard, kNow, vm, report, log);
+  }
+  SUBCASE("after the run had been reported as lapsed") {
+    Place(shard, kNow + kLater);
+    ReportAllRunning(shard, vm, kNow + kLater);
+    SyncReport report = Report(vm);
+    report.ends.push_back({vm.seen_end + 1, Key("j", 0, 0), RunNumber(1),
+                           RunEnd::kWorkerLost, "", "", kOnlySuspect});
+    Decisions log;
+    ApplyReport(shard, kNow + kLater, vm, report, log);
+  }
+  CHECK(job.state == JobState::kPending);
+  CHECK(FindTask(shard, Key("j", 0, 0))->crashed_runs.size() == 1);
+}
+
+TEST_CASE("a crash that is reported late counts against a later run") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 2);
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  Place(shard);
+  VmEntity& first = *VmOf(shard, task);
+  ReportAllRunning(shard, first);
+  EndRun(shard, first, task, RunNumber(1), RunEnd::kLapsed);
+  Place(shard, kNow + kLater);
+  VmEntity& second = *VmOf(shard, task);
+  ReportAllRunning(shard, second, kNow + kLater);
+  SyncReport late = Report(first);
+  late.ends.push_back({first.seen_end + 1, task, RunNumber(1),
+                       RunEnd::kWorkerLost, "", "", kOnlySuspect});
+  Decisions log;
+  ApplyReport(shard, kNow + kLater, first, late, log);
+  CHECK(shard.suspects.contains(task));
+  CrashWorker(shard, second, kNow + kLater, {{task, kOnlySuspect}});
+  CHECK(job.state == JobState::kFailed);
+}
+
+// A crash with no doing of the task must not make its job fail.
+TEST_CASE("ends without evidence raise no suspicion") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 1);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  Place(shard);
+  VmEntity& vm = *VmOf(shard, task);
+  ReportAllRunning(shard, vm);
+  RunEnd end = RunEnd::kWorkerLost;
+  CrashEvidence evidence;
+  SUBCASE("the worker announced its end") {}
+  SUBCASE("the lease lapsed") { end = RunEnd::kLapsed; }
+  SUBCASE("another run was started later") { evidence = {10, 0}; }
+  SUBCASE("the run was on the worker for long") { evidence = {2'001, 1}; }
+  CrashWorker(shard, vm, kNow, {{task, evidence}}, end);
+  CHECK(shard.suspects.empty());
+  CHECK(FindTask(shard, task)->crashed_runs.empty());
+}
+
+TEST_CASE("a lost VM raises no suspicion") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 1);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  Place(shard);
+  ReportAllRunning(shard, shard.vms.begin()->second);
+  Decisions log;
+  ExpireVmLeases(shard, kNow + Duration(20'000), log);
+  CHECK(shard.suspects.empty());
+}
+
+// Innocent tasks that were started together with the guilty one.
+TEST_CASE("suspects of one crash are started again on different VMs") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 8);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  AcceptJob(shard, "k", {Step(1, 1'000)});
+  Place(shard);
+  VmEntity& vm = *VmOf(shard, Key("j", 0, 0));
+  REQUIRE(VmOf(shard, Key("k", 0, 0)) == &vm);
+  ReportAllRunning(shard, vm);
+  CrashWorker(shard, vm, kNow,
+              {{Key("j", 0, 0), kOneOfTwo}, {Key("k", 0, 0), kOneOfTwo}});
+  MonotonicTime now = kNow + kLater;
+  AcceptJob(shard, "other", {Step(32, 1'000)});
+  Place(shard, now);
+  VmEntity* const vm_of_j = VmOf(shard, Key("j", 0, 0));
+  VmEntity* const vm_of_k = VmOf(shard, Key("k", 0, 0));
+  REQUIRE(vm_of_j != nullptr);
+  REQUIRE(vm_of_k != nullptr);
+  CHECK(vm_of_j != vm_of_k);
+  CHECK(vm_of_j->runs.size() == 1);
+  CHECK(vm_of_k->runs.size() == 1);
+
+  // The guilty one crashes its worker; the other is cleared and may crash a
+  // worker again without being given up.
+  CrashWorker(shard, *vm_of_j, now, {{Key("j", 0, 0), kOnlySuspect}});
+  CHECK(shard.jobs.at(JobId("j")).state == JobState::kFailed);
+  ReportAllRunning(shard, *vm_of_k, now);
+  now += kLater;
+  Place(shard, now);
+  CHECK(vm_of_k->runs.size() == 1);
+  ReportAllRunning(shard, *vm_of_k, now);
+  CHECK(shard.suspects.empty());
+  Place(shard, now);
+  CHECK(vm_of_k->runs.size() == 4);
+  CrashWorker(shard, *vm_of_k, now, {{Key("k", 0, 0), kOnlySuspect}});
+  CHECK(shard.jobs.at(JobId("k")).state == JobState::kPending);
+}
+
+// The run is still listed while its worker is away.
+TEST_CASE("a suspect is not cleared while its worker does not answer") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 1);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  CrashOnce(shard, kNow, task, kOnlySuspect);
+  Place(shard, kNow + kLater);
+  VmEntity& vm = *VmOf(shard, task);
+  ReportAllRunning(shard, vm, kNow + kLater);
+  SyncReport silent = Report(vm);
+  silent.worker.responsive = false;
+  silent.runs.push_back(Running(task, RunNumber(2)));
+  Decisions log;
+  ApplyReport(shard, kNow + 3 * kLater, vm, silent, log);
+  CHECK(shard.suspects.contains(task));
+}
+
+TEST_CASE("suspects hold at most a quarter of the VMs") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 8);
+  std::vector<CrashedRun> crashed;
+  for (const char* id : {"a", "b", "c", "d"}) {
+    AcceptJob(shard, id, {Step(1, 1'000)});
+    crashed.push_back({Key(id, 0, 0), {10, 4}});
+  }
+  Place(shard);
+  VmEntity& vm = *VmOf(shard, Key("a", 0, 0));
+  REQUIRE(vm.runs.size() == 4);
+  ReportAllRunning(shard, vm);
+  CrashWorker(shard, vm, kNow, crashed);
+  Place(shard, kNow + kLater);
+  size_t placed = 0;
+  for (const CrashedRun& it : crashed) {
+    if (VmOf(shard, it.task) != nullptr) ++placed;
+  }
+  CHECK(placed == 2);
+}
+
+TEST_CASE("a suspect is started where a crash ends least") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 3);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  CrashOnce(shard, kNow, task, kOnlySuspect);
+  StepSpec lasting = Step(1, 1'000);
+  lasting.lasting = true;
+  AcceptJob(shard, "serving", {lasting});
+  AcceptJob(shard, "busy", {Step(1, 3'500)});
+  const MonotonicTime before = kNow + Duration(10);
+  Place(shard, before);
+  VmEntity* const restarted = VmOf(shard, task);
+  CHECK(restarted == nullptr);
+  Place(shard, kNow + Duration(60));
+  REQUIRE(VmOf(shard, task) != nullptr);
+  CHECK(VmOf(shard, task)->runs.size() == 1);
+}
+
+// Placing the backlog on a restarted VM would lose it to the next crash.
+TEST_CASE("a VM whose worker crashed is kept free for suspects for a moment") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 1);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  CrashOnce(shard, kNow, Key("j", 0, 0), kOnlySuspect);
+  AcceptJob(shard, "k", {Step(1, 1'000)});
+  Place(shard, kNow);
+  CHECK(VmOf(shard, Key("k", 0, 0)) == nullptr);
+  CancelJob(shard, kNow, shard.jobs.at(JobId("j")));
+  Place(shard, kNow + kLater);
+  CHECK(VmOf(shard, Key("k", 0, 0)) != nullptr);
+}
+
+TEST_CASE("other tasks of a step wait for its suspect unless they last") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 1, 1'000);
+  StepSpec step = Step(2, 1'000);
+  SUBCASE("tasks that end") {}
+  SUBCASE("lasting tasks") { step.lasting = true; }
+  AcceptJob(shard, "j", {step});
+  Place(shard);
+  VmEntity& vm = shard.vms.begin()->second;
+  REQUIRE(vm.runs.contains(Key("j", 0, 0)));
+  ReportAllRunning(shard, vm);
+  CrashWorker(shard, vm, kNow, {{Key("j", 0, 0), kOnlySuspect}});
+  AddVms(shard, 3, 1'000);
+  Place(shard, kNow + Duration(10));
+  CHECK((VmOf(shard, Key("j", 0, 1)) != nullptr) == step.lasting);
+}
+
+TEST_CASE("crashes count under the next planner") {
+  ShardState first = NewBoard();
+  AddVms(first, 4);
+  JobEntity& job = AcceptJob(first, "j", {Step(2, 1'000)});
+  const TaskKey task = Key("j", 0, 1);
+  CrashOnce(first, kNow, task, kOnlySuspect);
+  CHECK(first.dirty.contains(JobId("j")));
+  JobReason why;
+  const auto row = DecodeRow<JobProgress>(EncodeRow(MakeProgressRow(job)), why);
+  REQUIRE(row);
+
+  ShardState second = NewBoard();
+  second.epoch = PlannerEpoch(2);
+  AddVms(second, 4);
+  JobEntity& loaded = AcceptJob(second, "j", {Step(2, 1'000)});
+  ApplyProgress(second, kNow, loaded, *row);
+  CHECK(second.suspects.contains(task));
+  CrashOnce(second, kNow, task, kOnlySuspect);
+  CHECK(loaded.state == JobState::kFailed);
+  CHECK(second.suspects.empty());
+}
+
+TEST_CASE("an end without evidence from an earlier agent can be decoded") {
+  const auto end =
+      nlohmann::json::parse(R"([3,["j",0,0,0],1,"worker_lost","",""])")
+          .get<RunEndReport>();
+  CHECK(end.end == RunEnd::kWorkerLost);
+  CHECK(end.crash == CrashEvidence{});
+}
+
+}  // namespace
+}  // namespace almondtally::sched
