Suspects of a crash wait less, and none is given up by chance

Each suspect held its VM alone for 0.8 s. All runs started in the last 250 ms before a crash were suspected. After two crashes the only suspect was given up, also when the second worker crashed for another reason.

The window is 100 ms, counted from the last start or from the worker's last sign of life, whichever is earlier: starts after a silent crash must not take the blame. The next suspect may start on the same VM 0.15 s, or twice the crash delay seen, after the one before; each is still cleared only after 0.8 s. Two crashes prove it only if both came within 25 ms of the start; else three. Tasks that were hit by crashes though others were started later become suspects at the third, which covers a task that crashes its worker with a delay. A suspect that is hit by the next suspect's crash is not charged with it. Suspects may hold a third of the VMs, as VMs that wait for their worker count too.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -80,8 +80,12 @@
   for (const LapsedRun& run : on_worker) {
     last_start = std::max(last_start, run.start_sent_at);
   }
+  // The worker may have crashed at any time after its last sign of life, so
+  // that later starts may never have reached it.
+  const MonotonicTime suspected_from =
+      std::min(last_start, table.worker_heard_at) - kCrashSuspectWindow;
   const auto is_suspect = [&](const LapsedRun& run) {
-    return last_start - run.start_sent_at <= kCrashSuspectWindow;
+    return run.start_sent_at >= suspected_from;
   };
   const auto suspects =
       std::count_if(on_worker.begin(), on_worker.end(), is_suspect);
--- a/source/sched/detail.h
+++ b/source/sched/detail.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <map>
+#include <set>
+
 #include "sched/shard_state.h"
 
 /// Helpers shared by the source files of this library.
@@ -21,8 +24,8 @@
 
 // Tasks suspected of crashing workers.
 
-/// Records that the worker crashed during a run, if the run is a suspect. Ends
-/// the job if the task is proven to crash workers.
+/// Records that the worker crashed during a run, if the run may be the cause.
+/// Ends the job if the task is proven to crash workers.
 void ProcessWorkerCrash(ShardState& shard, MonotonicTime now, JobEntity& job,
                         TaskEntity& task, VmEntity& vm, const RunEndReport& end,
                         Decisions& log);
@@ -32,15 +35,21 @@
 void ClearProvenSuspects(ShardState& shard, MonotonicTime now,
                          const VmEntity& vm, Decisions& log);
 
-/// @return true if a run on the VM is a suspect that has not been cleared.
-bool IsTestingSuspect(const ShardState& shard, const VmEntity& vm);
+/// VMs that run suspects.
+struct SuspectTests {
+  std::set<VmId> vms;
+  /// Those on which the suspect that was started last has not run for long
+  /// enough to start another one.
+  std::set<VmId> busy;
+};
+SuspectTests ListSuspectTests(ShardState& shard, MonotonicTime now);
 
 /// @return true if a task of the step is a suspect.
 bool HasSuspect(const ShardState& shard, const TaskKey& first_of_step);
 
-/// @return how many VMs of a service may run suspects at a time, beyond those
-/// that do.
-size_t CountFreeSuspectSlots(const ShardState& shard, const ServiceId& service);
+/// @return for each service, how many more of its VMs may run suspects.
+std::map<ServiceId, size_t> CountFreeSuspectSlots(const ShardState& shard,
+                                                  const SuspectTests& tests);
 
 /// Ends a job: its tasks are no longer placed, and its runs are stopped.
 void EndJob(ShardState& shard, MonotonicTime now, JobEntity& job,
--- a/source/sched/job.h
+++ b/source/sched/job.h
@@ -185,7 +185,7 @@
   /// One character per task: '1' if it is done, otherwise '0'.
   std::string done;
   std::vector<TaskRuns> failures;
-  /// Runs that are suspected of having crashed their worker.
+  /// Runs that may have crashed their worker.
   std::vector<TaskRuns> crashes;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StepProgress, occurrence, step,
@@ -194,9 +194,9 @@
 /// Number of tasks of a job whose crashes are stored. Bounds the progress row;
 /// the crashes of further tasks are forgotten when the planner changes.
 inline constexpr size_t kMaxStoredSuspects = 64;
-/// A task is given up after this many runs that are suspected of having crashed
-/// their worker.
-inline constexpr size_t kMaxCrashes = 3;
+/// A task is given up after this many runs that may have crashed their worker,
+/// whatever else was started at the time.
+inline constexpr size_t kMaxCrashes = 4;
 
 /// Progress row of a job in the store. It does not exist until there is
 /// something to record.
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -150,16 +150,16 @@
   /// How long the run had been on the worker at the worker's last sign of life,
   /// in ms; negative if the worker did not crash.
   int64_t run_age_ms = -1;
-  /// Number of runs, including this one, that were started last, within
-  /// kCrashSuspectWindow of each other; 0 if this run was started earlier.
+  /// Number of runs, including this one, that were started last before the
+  /// crash; 0 if this run was started earlier.
   uint32_t suspects = 0;
 
   bool operator==(const CrashEvidence&) const = default;
 };
 
-/// Runs of a crashed worker that were started within this time before the last
-/// one are equally suspected.
-inline constexpr Duration kCrashSuspectWindow{250};
+/// Runs that were started within this time before the last one, or before the
+/// worker's last sign of life, are equally suspected.
+inline constexpr Duration kCrashSuspectWindow{100};
 
 /// End of a run on a VM, reported by its agent.
 struct RunEndReport {
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -2,6 +2,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "sched/detail.h"
@@ -43,8 +44,10 @@
   int64_t filler_cpu = 0;
   /// The VM's serving tasks; empty until they are needed.
   std::optional<std::vector<ServingTask>> serving;
-  /// A suspect runs here, so that no other task may start.
+  /// A suspect runs here, so that only suspects may start.
   bool testing_suspect = false;
+  /// The suspect that was started last must run for a while before the next.
+  bool busy_with_suspect = false;
   /// Only suspects may start here.
   bool reserved_for_suspects = false;
 };
@@ -65,6 +68,8 @@
 struct PlacementPass {
   std::vector<CandidateVm> candidates;
   std::vector<UnmetRequest> unmet;
+  /// How many more VMs of a service may run suspects.
+  std::map<ServiceId, size_t> suspect_slots;
 };
 
 /// A ready step that has idle tasks.
@@ -75,8 +80,8 @@
   JobRank rank;
 };
 
-std::vector<CandidateVm> ListCandidateVms(ShardState& shard,
-                                          MonotonicTime now) {
+std::vector<CandidateVm> ListCandidateVms(ShardState& shard, MonotonicTime now,
+                                          const SuspectTests& tests) {
   std::vector<CandidateVm> out;
   for (auto& [id, vm] : shard.vms) {
     const WorkerReport& worker = vm.worker;
@@ -87,7 +92,8 @@
     candidate.vm = &vm;
     candidate.free = worker.capacity;
     candidate.idle_cpu = worker.capacity.cpu.value;
-    candidate.testing_suspect = IsTestingSuspect(shard, vm);
+    candidate.testing_suspect = tests.vms.contains(id);
+    candidate.busy_with_suspect = tests.busy.contains(id);
     candidate.reserved_for_suspects = vm.reserved_for_suspects_until > now;
     for (const auto& [task, run] : vm.runs) {
       Resources size = run.size;
@@ -383,16 +389,18 @@
   const TaskKey first{ready_step.job->record.spec.id, ready_step.occurrence,
                       ready_step.step, 0};
   if (spec.gang || !HasSuspect(shard, first)) return;
-  size_t slots = CountFreeSuspectSlots(shard, terms.service);
+  size_t& slots = pass.suspect_slots[terms.service];
   TaskKey key = first;
-  for (; key.index < tasks.size() && slots > 0; ++key.index) {
+  for (; key.index < tasks.size(); ++key.index) {
     TaskEntity& task = tasks[key.index];
     if (task.phase != TaskPhase::kIdle || task.not_before > now) continue;
     if (!shard.suspects.contains(key)) continue;
     CandidateVm* best = nullptr;
     int64_t least_loss = 0;
     for (CandidateVm& candidate : pass.candidates) {
-      if (candidate.testing_suspect || !HasRoom(candidate, terms, spec) ||
+      if (candidate.busy_with_suspect) continue;
+      if (!candidate.testing_suspect && slots == 0) continue;
+      if (!HasRoom(candidate, terms, spec) ||
           !IsOpenToTask(candidate, spec, key)) {
         continue;
       }
@@ -403,10 +411,11 @@
     }
     if (best == nullptr) return;
     Reserve(shard, *best, spec);
+    if (!best->testing_suspect) --slots;
     best->testing_suspect = true;
+    best->busy_with_suspect = true;
     AssignTask(shard, now, *best->vm, spec, key, task,
                NextRunNumber(shard, task.run), log);
-    --slots;
   }
 }
 
@@ -470,9 +479,13 @@
   const auto ready_steps = ListReadySteps(shard, now);
   if (ready_steps.empty()) return;
   PlacementPass pass;
-  pass.candidates = ListCandidateVms(shard, now);
-  for (const ReadyStep& it : ready_steps) {
-    PlaceSuspects(shard, now, it, pass, log);
+  const SuspectTests tests = ListSuspectTests(shard, now);
+  pass.candidates = ListCandidateVms(shard, now, tests);
+  if (!shard.suspects.empty()) {
+    pass.suspect_slots = CountFreeSuspectSlots(shard, tests);
+    for (const ReadyStep& it : ready_steps) {
+      PlaceSuspects(shard, now, it, pass, log);
+    }
   }
   for (const ReadyStep& it : ready_steps) {
     if (it.job->record.spec.steps[it.step].gang) {
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -40,6 +40,7 @@
   if (task.phase == TaskPhase::kDone) return;
   task.phase = TaskPhase::kDone;
   task.vm = {};
+  shard.crashed_tasks.erase(key);
   shard.suspects.erase(key);
   auto& occurrence = job.occurrences.at(key.occurrence);
   StepEntity& step = occurrence.steps[key.step];
--- a/source/sched/shard_state.cc
+++ b/source/sched/shard_state.cc
@@ -39,10 +39,12 @@
 }
 
 void RemoveSuspects(ShardState& shard, const JobId& job) {
-  const auto first = shard.suspects.lower_bound(TaskKey{job, 0, 0, 0});
-  auto last = first;
-  while (last != shard.suspects.end() && last->job == job) ++last;
-  shard.suspects.erase(first, last);
+  for (std::set<TaskKey>* tasks : {&shard.crashed_tasks, &shard.suspects}) {
+    const auto first = tasks->lower_bound(TaskKey{job, 0, 0, 0});
+    auto last = first;
+    while (last != tasks->end() && last->job == job) ++last;
+    tasks->erase(first, last);
+  }
 }
 
 }  // namespace
@@ -118,7 +120,9 @@
     }
     for (const TaskRuns& crashed : row.crashes) {
       if (!restore(crashed, &TaskEntity::crashed_runs)) continue;
-      shard.suspects.insert({spec.id, row.occurrence, row.step, crashed.index});
+      const TaskKey key{spec.id, row.occurrence, row.step, crashed.index};
+      shard.crashed_tasks.insert(key);
+      shard.suspects.insert(key);
     }
   }
   for (auto& [number, occurrence] : job.occurrences) {
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -37,8 +37,10 @@
   VmId vm;
   /// Failed runs that count as attempts, in the order they were reported.
   std::vector<RunNumber> failed_runs;
-  /// Runs that are suspected of having crashed their worker.
+  /// Runs that may have crashed their worker.
   std::vector<RunNumber> crashed_runs;
+  /// Longest time between the start of such a run and the crash.
+  Duration longest_crash_delay{};
   std::string checkpoint;
   /// Earliest time of the next placement.
   MonotonicTime not_before{};
@@ -187,7 +189,9 @@
   /// Jobs that have not ended, a small part of `jobs`: ended ones are kept for
   /// minutes.
   std::set<JobId> open_jobs;
-  /// Tasks of open jobs that are suspected of crashing workers.
+  /// Tasks of open jobs with runs that may have crashed their worker, and those
+  /// of them that are suspected of it.
+  std::set<TaskKey> crashed_tasks;
   std::set<TaskKey> suspects;
   std::map<VmId, VmEntity> vms;
   std::map<QueueId, QueueTerms> queues;
