--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -37,6 +37,10 @@
   VmId vm;
   /// Failed runs that count as attempts, in the order they were reported.
   std::vector<RunNumber> failed_runs;
+  /// Runs that may have crashed their worker.
+  std::vector<RunNumber> crashed_runs;
+  /// Longest time between the start of such a run and the crash.
+  Duration longest_crash_delay{};
   std::string checkpoint;
   /// Earliest time of the next placement.
   MonotonicTime not_before{};
@@ -164,6 +168,9 @@
   /// Jobs with a failed run on this VM since the last successful run.
   std::set<JobId> failing_jobs;
   MonotonicTime set_aside_until{};
+  /// Until then, only tasks suspected of having crashed the VM's worker are
+  /// placed here: nothing is lost if they crash it again.
+  MonotonicTime reserved_for_suspects_until{};
 
   /// When the VM became known to this planner.
   MonotonicTime listed_at{};
@@ -186,6 +193,10 @@
   /// Jobs that have not ended, a small part of `jobs`: ended ones are kept for
   /// minutes.
   std::set<JobId> open_jobs;
+  /// Tasks of open jobs with runs that may have crashed their worker, and those
+  /// of them that are suspected of it.
+  std::set<TaskKey> crashed_tasks;
+  std::set<TaskKey> suspects;
   std::map<VmId, VmEntity> vms;
   std::map<QueueId, QueueTerms> queues;
   /// Earliest time at which another lasting task may be stopped because of a
@@ -219,6 +230,9 @@
     kTakenBack,
     kPaced,
     kAdopted,
+    kSuspected,
+    kCleared,
+    kGivenUp,
   };
   Kind kind = Kind::kPlaced;
   TaskKey task;
