--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -56,10 +56,11 @@
   table.runs.erase(it);
 }
 
-/// @return true if the worker may have executed the run's start.
-bool MayHaveStarted(const AgentRun& run) {
-  return run.phase != RunPhase::kStarting || run.call_in_flight ||
-         run.start_unanswered;
+/// @return true if the run's start call must be sent, for the first time or
+/// again.
+bool AwaitsStartCall(const AgentRun& run) {
+  return run.phase == RunPhase::kStarting && !run.call_in_flight &&
+         !run.start_unanswered;
 }
 
 /// Ends the runs of a worker that was replaced.
@@ -67,7 +68,7 @@
   constexpr const char* kReason = "the worker was replaced";
   std::vector<LapsedRun> on_worker = std::exchange(table.lapsed, {});
   for (auto& [task, run] : table.runs) {
-    if (!MayHaveStarted(run)) {
+    if (AwaitsStartCall(run)) {
       AddEnd(table, task, run.order.run, RunEnd::kNotStarted, run.checkpoint,
              kReason);
       continue;
@@ -107,7 +108,7 @@
   while (!table.runs.empty()) {
     const auto it = table.runs.begin();
     const AgentRun& run = it->second;
-    if (MayHaveStarted(run)) {
+    if (!AwaitsStartCall(run)) {
       table.lapsed.push_back(
           {it->first, run.order.run, run.start_sent_at, run.checkpoint});
     }
@@ -145,13 +146,6 @@
   return "";
 }
 
-/// @return true if the run's start call must be sent, for the first time or
-/// again.
-bool AwaitsStartCall(const AgentRun& run) {
-  return run.phase == RunPhase::kStarting && !run.call_in_flight &&
-         !run.start_unanswered;
-}
-
 /// @return the total size of the runs that the worker has, or may have.
 Resources SizeOfStartedRuns(const RunTable& table) {
   Resources sum;
