--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -264,6 +264,13 @@
        "a run is stopped so that it can resume elsewhere, with the reason"},
       {Event::kFillersPaced, "fillers.paced", kPlanning, kInfo,
        "the speed limit of a VM's filler tasks changed"},
+      {Event::kTaskWaiting, "task.waiting", kPlanning, kWarning,
+       "a lasting task is idle for over a second, with the reason"},
+      {Event::kTailOverTarget, "tail.over_target", kPlanning, kInfo,
+       "a serving task misses its target; the reason lists the weights of the "
+       "fillers on its VM"},
+      {Event::kTailWithinTarget, "tail.within_target", kPlanning, kInfo,
+       "a serving task meets its target again; age is how long it missed it"},
       {Event::kVmListed, "vm.listed", kPlanning, kInfo,
        "an agent's row was read"},
       {Event::kVmSynced, "vm.synced", kPlanning, kInfo,
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -195,6 +195,8 @@
   const MonotonicTime now = loop_.now();
   Decisions log;
   ExpireVmLeases(board_, now, log);
+  LogWaitingTasks(board_, now, log);
+  LogTargetMisses(board_, log);
   LogDecisions(log);
   RemoveSilentVms();
   while (!board_.ended.empty()) {
@@ -236,6 +238,12 @@
           return Event::kFillersPaced;
         case Decision::Kind::kAdopted:
           return Event::kRunAdopted;
+        case Decision::Kind::kWaiting:
+          return Event::kTaskWaiting;
+        case Decision::Kind::kOverTarget:
+          return Event::kTailOverTarget;
+        case Decision::Kind::kWithinTarget:
+          return Event::kTailWithinTarget;
       }
       return Event::kRunPlaced;
     }();
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -50,6 +50,8 @@
   std::vector<TaskEntity> tasks;
   uint32_t done = 0;
   bool ready = false;
+  /// Earliest time of the next log line about a waiting task of the step.
+  MonotonicTime next_wait_log_at{};
 };
 
 struct OccurrenceEntity {
@@ -107,6 +109,8 @@
   MonotonicTime paused_since{};
   /// For a serving task: since when its tail latency has exceeded its target.
   MonotonicTime over_target_since{};
+  /// Value of `over_target_since` that was last logged.
+  MonotonicTime over_target_logged{};
   /// For a serving task: last measured tail latency, divided by its target.
   double last_tail_ratio = 0;
   /// The agent asked for the size of this run.
@@ -212,6 +216,9 @@
     kTakenBack,
     kPaced,
     kAdopted,
+    kWaiting,
+    kOverTarget,
+    kWithinTarget,
   };
   Kind kind = Kind::kPlaced;
   TaskKey task;
@@ -275,6 +282,12 @@
 /// their start was sent.
 void StopRunsToMove(ShardState& shard, MonotonicTime now, Decisions& log);
 
+/// Logs lasting tasks that have been idle for over a second, with the reason.
+void LogWaitingTasks(ShardState& shard, MonotonicTime now, Decisions& log);
+/// Logs serving tasks that began to miss their target, with the fillers beside
+/// them, and those that meet it again.
+void LogTargetMisses(ShardState& shard, Decisions& log);
+
 // Orders to agents.
 
 /// @return true if there are orders to send to the agent of `vm`.
