A task without a VM holds up no sibling that may find one

Callers could see a lasting task idle with room for it on a VM.

Change: the search tells whether other tasks of the step may fit.

--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -62,6 +62,13 @@
   std::vector<UnmetRequest> unmet;
 };
 
+/// Result of the search for a VM.
+struct VmChoice {
+  CandidateVm* vm = nullptr;
+  /// Other tasks of the step may find a VM although this one did not.
+  bool others_may_fit = false;
+};
+
 /// A ready step that has idle tasks.
 struct ReadyStep {
   JobEntity* job = nullptr;
@@ -166,11 +173,15 @@
              labels.end();
 }
 
+bool HasEarlierRun(const CandidateVm& candidate, const TaskKey& key) {
+  return candidate.vm->runs.contains(key);
+}
+
 /// @return true unless the VM has an earlier run of the task, or as many tasks
 /// of the step as allowed.
 bool IsOpenToTask(const CandidateVm& candidate, const StepSpec& step,
                   const TaskKey& key) {
-  if (candidate.vm->runs.contains(key)) return false;
+  if (HasEarlierRun(candidate, key)) return false;
   return step.max_per_vm == 0 ||
          CountRunsOfStep(*candidate.vm, key) < step.max_per_vm;
 }
@@ -233,13 +244,15 @@
   pass.unmet.push_back(std::move(unmet));
 }
 
-CandidateVm* ChooseVm(const ShardState& shard, MonotonicTime now,
-                      PlacementPass& pass, const QueueTerms& terms,
-                      const StepSpec& step, const TaskKey& key,
-                      const TaskEntity& task) {
+VmChoice ChooseVm(const ShardState& shard, MonotonicTime now,
+                  PlacementPass& pass, const QueueTerms& terms,
+                  const StepSpec& step, const TaskKey& key,
+                  const TaskEntity& task) {
   const bool may_wait = now - task.since < kMaxFillerWait;
-  if (IsKnownUnmet(pass, terms, step, may_wait)) return nullptr;
-  CandidateVm* best = nullptr;
+  VmChoice out;
+  // Fillers of one step may differ in how long they may still wait.
+  out.others_may_fit = step.filler && may_wait;
+  if (IsKnownUnmet(pass, terms, step, may_wait)) return out;
   double best_score = kUnsuitable;
   bool ruled_out_by_serving = false;
   bool closed_to_task = false;
@@ -247,18 +260,19 @@
     if (!HasRoom(candidate, terms, step)) continue;
     if (!IsOpenToTask(candidate, step, key)) {
       closed_to_task = true;
+      if (HasEarlierRun(candidate, key)) out.others_may_fit = true;
       continue;
     }
     const double score = Score(shard, now, candidate, step, task);
     if (score == kUnsuitable) ruled_out_by_serving = true;
     if (score <= best_score) continue;
-    best = &candidate;
+    out.vm = &candidate;
     best_score = score;
   }
   // Other tasks may still use a VM that is closed to this one only.
-  if (best == nullptr && !closed_to_task)
+  if (out.vm == nullptr && !closed_to_task)
     RememberUnmet(pass, terms, step, ruled_out_by_serving);
-  return best;
+  return out;
 }
 
 void Reserve(const ShardState& shard, CandidateVm& candidate,
@@ -325,16 +339,14 @@
   for (; key.index < step.tasks.size(); ++key.index) {
     TaskEntity& task = step.tasks[key.index];
     if (task.phase != TaskPhase::kIdle || task.not_before > now) continue;
-    CandidateVm* candidate =
+    const VmChoice choice =
         ChooseVm(shard, now, pass, ready_step.job->terms, spec, key, task);
-    if (candidate == nullptr) {
-      // The other tasks of the step need the same resources, so none of them
-      // fits either, unless the VMs to avoid differ.
-      if (task.failed_on.empty()) return;
+    if (choice.vm == nullptr) {
+      if (!choice.others_may_fit) return;
       continue;
     }
-    Reserve(shard, *candidate, spec);
-    AssignTask(shard, now, *candidate->vm, spec, key, task,
+    Reserve(shard, *choice.vm, spec);
+    AssignTask(shard, now, *choice.vm->vm, spec, key, task,
                NextRunNumber(shard, task.run), log);
   }
 }
--- a/tests/sched/lasting_test.cc
+++ b/tests/sched/lasting_test.cc
@@ -60,5 +60,68 @@
   CHECK(log.back().kind == Decision::Kind::kWithinTarget);
 }
 
+TaskEntity& Task(ShardState& shard, const std::string& job, uint32_t index) {
+  return *FindTask(shard, Key(job, 0, index));
+}
+
+/// Returns the state after a run was considered lost and reported again: the
+/// task is idle, and the run is still on its VM.
+void MarkIdleWithEarlierRun(ShardState& shard, const std::string& job,
+                            uint32_t index) {
+  Task(shard, job, index).phase = TaskPhase::kIdle;
+}
+
+// A lasting task did not run although a VM had room for it.
+TEST_CASE("a lasting task is not held up by another job's earlier run") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  AcceptJob(shard, "first", {Step(1, 1'000)});
+  Place(shard);
+  ReportAllRunning(shard, vm);
+  MarkIdleWithEarlierRun(shard, "first", 0);
+  AcceptJob(shard, "watch", {LastingStep(1, 1'000)});
+  Place(shard);
+  CHECK(vm.runs.count(Key("watch", 0, 0)) == 1);
+}
+
+// A lasting task did not run although a VM had room for it.
+TEST_CASE("a lasting task is not held up by its sibling's earlier run") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a", 1'000);
+  AcceptJob(shard, "watch", {LastingStep(2, 1'000)});
+  Place(shard);
+  ReportAllRunning(shard, vm);
+  REQUIRE(vm.runs.count(Key("watch", 0, 0)) == 1);
+  MarkIdleWithEarlierRun(shard, "watch", 0);
+  vm.worker.capacity = Size(2'000, 100'000);
+  Place(shard);
+  CHECK(vm.runs.count(Key("watch", 0, 1)) == 1);
+}
+
+// A filler that may still wait held up siblings that had waited long enough.
+TEST_CASE("a filler that may wait for a better VM holds up no sibling") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  StepSpec serving = LastingStep(1, 1'000);
+  serving.tail_target_ms = 10;
+  serving.image = "serving";
+  AcceptJob(shard, "watch", {serving});
+  Place(shard);
+  ReportAllRunning(shard, vm);
+  shard.loads[JobId("watch")].mean = 0;
+  StepSpec filler = Step(2, 500);
+  filler.filler = true;
+  filler.image = "filler";
+  AcceptJob(shard, "batch", {filler});
+  UpdateInterference(shard.interference, "serving", 5, 0.1, {{"filler", 0.5}});
+  Place(shard);
+  REQUIRE(vm.runs.count(Key("batch", 0, 0)) == 0);
+  const MonotonicTime now = kNow + Duration(2'500);
+  Task(shard, "batch", 0).since = now;
+  Place(shard, now);
+  CHECK(vm.runs.count(Key("batch", 0, 0)) == 0);
+  CHECK(vm.runs.count(Key("batch", 0, 1)) == 1);
+}
+
 }  // namespace
 }  // namespace almondtally::sched
