A retried task prefers another VM than its last

Callers could see a task idle with room for it: a VM that refused each start (run end not_started) was the best fit again after 100 ms, as often as it refused, since such an end is no failure of the task and left no trace.

Change: placement ranks the VM of the task's last run behind the others, by more than the differences in free CPU.

--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -25,6 +25,9 @@
 /// Share of their reserved CPU that serving tasks use at peak load,
 /// approximately.
 constexpr double kServingCpuUse = 0.6;
+/// Exceeds the differences in free CPU, so that a VM that refuses starts is not
+/// chosen each time.
+constexpr double kLastVmPenalty = 1.5;
 constexpr double kUnsuitable = std::numeric_limits<double>::lowest();
 /// Run numbers available to one task within one planner epoch.
 constexpr uint64_t kRunsPerEpoch = 1'000;
@@ -216,6 +219,7 @@
     score -= 8;
   }
   if (!candidate.vm->failing_jobs.empty()) score -= 4;
+  if (candidate.vm->id == task.last_vm) score -= kLastVmPenalty;
   if (!step.data_rack.empty() &&
       candidate.vm->worker.rack.value != step.data_rack) {
     score -= 2;
@@ -318,6 +322,7 @@
   task.phase = TaskPhase::kPlaced;
   task.run = number;
   task.vm = vm.id;
+  task.last_vm = vm.id;
   task.since = now;
   VmRun run;
   run.run = number;
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -35,6 +35,8 @@
   /// Latest run whose end was processed. Agents may report that end again.
   RunNumber last_ended_run;
   VmId vm;
+  /// VM of the latest run that this planner placed; a retry prefers another.
+  VmId last_vm;
   /// Failed runs that count as attempts, in the order they were reported.
   std::vector<RunNumber> failed_runs;
   std::string checkpoint;
--- a/tests/sched/lasting_test.cc
+++ b/tests/sched/lasting_test.cc
@@ -123,5 +123,22 @@
   CHECK(vm.runs.count(Key("batch", 0, 1)) == 1);
 }
 
+// A VM that refused every start was chosen again each time.
+TEST_CASE("a lasting task whose start was refused tries another VM") {
+  ShardState shard = NewBoard();
+  VmEntity& fuller = AddVm(shard, "a", 2'000);
+  VmEntity& other = AddVm(shard, "b", 4'000);
+  AcceptJob(shard, "watch", {LastingStep(1, 1'000)});
+  Place(shard);
+  REQUIRE(fuller.runs.size() == 1);
+  SyncRequest request;
+  CollectOrders(shard, fuller, request);
+  EndRun(shard, fuller, Key("watch", 0, 0), Task(shard, "watch", 0).run,
+         RunEnd::kNotStarted);
+  Place(shard, kNow + Duration(200));
+  CHECK(fuller.runs.empty());
+  CHECK(other.runs.size() == 1);
+}
+
 }  // namespace
 }  // namespace almondtally::sched
