Do not set aside most VMs of a service

Callers could see every task of a service wait for up to 4 s, lasting ones included: while tasks of three or more jobs fail on every VM, each VM is set aside in turn, and then no VM accepts tasks although all have room.

Change: where most VMs of a service are set aside, the failures are due to the tasks, and placement uses all VMs. Test 'VMs are not set aside if most of their service would be' failed before (0 == 1).

--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -2,6 +2,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "sched/rank.h"
@@ -80,14 +81,35 @@
   JobRank rank;
 };
 
+bool AcceptsTasks(const VmEntity& vm) {
+  return vm.synced && vm.worker.responsive && !vm.worker.draining;
+}
+
+/// @return the services of which most VMs are set aside. Their failures are due
+/// to the tasks, and no other VM would do better.
+std::set<ServiceId> ListServicesMostlySetAside(const ShardState& shard,
+                                               MonotonicTime now) {
+  std::map<ServiceId, int> balance;
+  for (const auto& [id, vm] : shard.vms) {
+    if (!AcceptsTasks(vm)) continue;
+    balance[vm.worker.service] += vm.set_aside_until > now ? 1 : -1;
+  }
+  std::set<ServiceId> out;
+  for (const auto& [service, surplus] : balance) {
+    if (surplus > 0) out.insert(service);
+  }
+  return out;
+}
+
 std::vector<CandidateVm> ListCandidateVms(ShardState& shard,
                                           MonotonicTime now) {
   std::vector<CandidateVm> out;
+  const auto mostly_set_aside = ListServicesMostlySetAside(shard, now);
   for (auto& [id, vm] : shard.vms) {
     const WorkerReport& worker = vm.worker;
-    const bool usable = vm.synced && worker.responsive && !worker.draining &&
-                        vm.set_aside_until <= now;
-    if (!usable) continue;
+    const bool set_aside =
+        vm.set_aside_until > now && !mostly_set_aside.contains(worker.service);
+    if (!AcceptsTasks(vm) || set_aside) continue;
     CandidateVm candidate;
     candidate.vm = &vm;
     candidate.free = worker.capacity;
--- a/tests/sched/lasting_test.cc
+++ b/tests/sched/lasting_test.cc
@@ -140,5 +140,28 @@
   CHECK(other.runs.size() == 1);
 }
 
+// While tasks of several jobs failed on every VM, no task was placed.
+TEST_CASE("VMs are not set aside if most of their service would be") {
+  ShardState shard = NewBoard();
+  VmEntity& first = AddVm(shard, "a");
+  VmEntity& second = AddVm(shard, "b");
+  first.set_aside_until = kNow + Duration(4'000);
+  second.set_aside_until = kNow + Duration(4'000);
+  AcceptJob(shard, "watch", {LastingStep(1, 1'000)});
+  Place(shard);
+  CHECK(first.runs.size() + second.runs.size() == 1);
+}
+
+TEST_CASE("a VM that is set aside gets no task while its service has others") {
+  ShardState shard = NewBoard();
+  VmEntity& set_aside = AddVm(shard, "a", 1'000);
+  VmEntity& full = AddVm(shard, "b", 500);
+  set_aside.set_aside_until = kNow + Duration(4'000);
+  AcceptJob(shard, "watch", {LastingStep(1, 1'000)});
+  Place(shard);
+  CHECK(set_aside.runs.empty());
+  CHECK(full.runs.empty());
+}
+
 }  // namespace
 }  // namespace almondtally::sched
