Rank lasting jobs as on time

Callers could see a lasting task idle while later jobs started: once three times its job's objective had passed since the job was accepted, a restarted lasting task counted as too late to be of value and was placed behind late batch jobs. Its value is the time that it runs.

Change: jobs with lasting tasks are ranked as on time. Test 'a restarted lasting task is not placed behind late batch jobs' failed before (0 == 1). sched_test: 53 cases pass.

--- a/source/sched/rank.cc
+++ b/source/sched/rank.cc
@@ -55,6 +55,11 @@
 
 Outlook OutlookOf(const JobEntity& job, const OccurrenceEntity& occurrence,
                   MonotonicTime now) {
+  // The value of lasting tasks is the time that they run, whenever that is.
+  const auto& steps = job.record.spec.steps;
+  const bool lasting = std::any_of(steps.begin(), steps.end(),
+                                   [](const auto& it) { return it.lasting; });
+  if (lasting) return Outlook::kOnTime;
   const MonotonicTime late_at = occurrence.due_at + job.objective;
   if (now > occurrence.due_at + job.objective * kNoValueAfterObjectives) {
     return Outlook::kTooLate;
--- a/tests/sched/lasting_test.cc
+++ b/tests/sched/lasting_test.cc
@@ -163,5 +163,18 @@
   CHECK(full.runs.empty());
 }
 
+// A lasting task earns as long as it runs, so it was wrongly ranked as too late
+// to be of value.
+TEST_CASE("a restarted lasting task is not placed behind late batch jobs") {
+  ShardState shard = NewBoard();
+  AcceptJob(shard, "watch", {LastingStep(1, 1'000)});
+  const MonotonicTime now = kNow + Duration(60'000);
+  JobEntity& batch = AcceptJob(shard, "batch", {Step(1, 1'000)});
+  batch.occurrences.at(0).due_at = now - batch.objective * 2;
+  VmEntity& vm = AddVm(shard, "a", 1'000);
+  Place(shard, now);
+  CHECK(vm.runs.count(Key("watch", 0, 0)) == 1);
+}
+
 }  // namespace
 }  // namespace almondtally::sched
