Stop listing a VM soon after its leases have expired

Callers could see lasting and other tasks idle for 11 s with room for them: a new planner places no task of a stored job until every listed VM has reported or all earlier leases have expired, 11.35 s after the takeover, and a VM that was gone stayed listed for 20 s.

Change: a VM whose leases from this planner have expired is removed from the list after 8 s of silence, unless an earlier planner may still grant leases. Its agent writes the row again if it comes back.

--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -26,6 +26,19 @@
 /// The row of a VM that has been silent for this long is deleted; its agent
 /// writes the row again if it comes back.
 constexpr Duration kSilentVmTimeout{20'000};
+/// The same for a VM whose leases from this planner have expired. The next
+/// planner waits for all VMs that are listed before it places stored jobs.
+constexpr Duration kLostVmTimeout{8'000};
+/// All leases from earlier planners have expired this long after a takeover.
+constexpr Duration kEarlierLeases =
+    kOwnershipProofValidity + kLeaseGrantDuration +
+    kLeaseGrantDuration * 3 / 100 + kLeaseExpiryMargin;
+
+bool HasNoLease(const VmEntity& vm, MonotonicTime took_over_at,
+                MonotonicTime now) {
+  return vm.lease_ends_at != MonotonicTime{} && now >= vm.lease_ends_at &&
+         now - took_over_at >= kEarlierLeases;
+}
 
 }  // namespace
 
@@ -192,7 +205,10 @@
     VmEntity& vm = it->second;
     const MonotonicTime last_heard_at =
         std::max(vm.last_report_at, vm.listed_at);
-    if (vm.synced || now - last_heard_at < kSilentVmTimeout) {
+    const Duration timeout = HasNoLease(vm, board_.took_over_at, now)
+                                 ? kLostVmTimeout
+                                 : kSilentVmTimeout;
+    if (vm.synced || now - last_heard_at < timeout) {
       ++it;
       continue;
     }
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -369,6 +369,25 @@
   CHECK_FALSE(cluster.memory.rows.contains(at));
 }
 
+// After a takeover, lasting tasks waited 11 s for a VM that was gone for good.
+TEST_CASE("the next planner does not wait for a VM whose leases have expired") {
+  TestCluster cluster;
+  Entry a(cluster, "a", kFirst);
+  const StoreKey at{table::kAgents, "shard-0", "vm"};
+  SUBCASE("lost after all leases of earlier planners") {
+    cluster.Advance(Duration(13'000));
+    cluster.agent_reachable = false;
+    cluster.Advance(Duration(9'000));
+    CHECK_FALSE(cluster.memory.rows.contains(at));
+  }
+  SUBCASE("lost while an earlier planner may still grant leases") {
+    cluster.Advance(Duration(1'000));
+    cluster.agent_reachable = false;
+    cluster.Advance(Duration(9'000));
+    CHECK(cluster.memory.rows.contains(at));
+  }
+}
+
 // A planner that is cut off or paused does not hear of its replacement at once.
 // Its successor accepts jobs that it knows nothing of.
 TEST_CASE("a planner without recent proof of ownership denies no job") {
