--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -271,6 +271,13 @@
        "a suspected task has run for a while and the worker has not crashed"},
       {Event::kTaskGivenUp, "task.given_up", kPlanning, kWarning,
        "a task is proven to crash workers; its job has failed"},
+      {Event::kTaskWaiting, "task.waiting", kPlanning, kWarning,
+       "a lasting task is idle for over a second, with the reason"},
+      {Event::kTailOverTarget, "tail.over_target", kPlanning, kInfo,
+       "a serving task misses its target; the reason lists the weights of the "
+       "fillers on its VM"},
+      {Event::kTailWithinTarget, "tail.within_target", kPlanning, kInfo,
+       "a serving task meets its target again; age is how long it missed it"},
       {Event::kVmListed, "vm.listed", kPlanning, kInfo,
        "an agent's row was read"},
       {Event::kVmSynced, "vm.synced", kPlanning, kInfo,
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -27,6 +27,9 @@
 /// Share of their reserved CPU that serving tasks use at peak load,
 /// approximately.
 constexpr double kServingCpuUse = 0.6;
+/// Exceeds the differences in free CPU, so that a VM that refuses starts is not
+/// chosen each time.
+constexpr double kLastVmPenalty = 1.5;
 constexpr double kUnsuitable = std::numeric_limits<double>::lowest();
 /// Run numbers available to one task within one planner epoch.
 constexpr uint64_t kRunsPerEpoch = 1'000;
@@ -72,6 +75,13 @@
   std::map<ServiceId, size_t> suspect_slots;
 };
 
+/// Result of the search for a VM.
+struct VmChoice {
+  CandidateVm* vm = nullptr;
+  /// Other tasks of the step may find a VM although this one did not.
+  bool others_may_fit = false;
+};
+
 /// A ready step that has idle tasks.
 struct ReadyStep {
   JobEntity* job = nullptr;
@@ -80,14 +90,35 @@
   JobRank rank;
 };
 
+bool AcceptsTasks(const VmEntity& vm) {
+  return vm.synced && vm.worker.responsive && !vm.worker.draining;
+}
+
+/// @return the services of which most VMs are set aside. Their failures are due
+/// to the tasks, and no other VM would do better.
+std::set<ServiceId> ListServicesMostlySetAside(const ShardState& shard,
+                                               MonotonicTime now) {
+  std::map<ServiceId, int> balance;
+  for (const auto& [id, vm] : shard.vms) {
+    if (!AcceptsTasks(vm)) continue;
+    balance[vm.worker.service] += vm.set_aside_until > now ? 1 : -1;
+  }
+  std::set<ServiceId> out;
+  for (const auto& [service, surplus] : balance) {
+    if (surplus > 0) out.insert(service);
+  }
+  return out;
+}
+
 std::vector<CandidateVm> ListCandidateVms(ShardState& shard, MonotonicTime now,
                                           const SuspectTests& tests) {
   std::vector<CandidateVm> out;
+  const auto mostly_set_aside = ListServicesMostlySetAside(shard, now);
   for (auto& [id, vm] : shard.vms) {
     const WorkerReport& worker = vm.worker;
-    const bool usable = vm.synced && worker.responsive && !worker.draining &&
-                        vm.set_aside_until <= now;
-    if (!usable) continue;
+    const bool set_aside =
+        vm.set_aside_until > now && !mostly_set_aside.contains(worker.service);
+    if (!AcceptsTasks(vm) || set_aside) continue;
     CandidateVm candidate;
     candidate.vm = &vm;
     candidate.free = worker.capacity;
@@ -184,11 +215,15 @@
   return !candidate.testing_suspect && !candidate.reserved_for_suspects;
 }
 
+bool HasEarlierRun(const CandidateVm& candidate, const TaskKey& key) {
+  return candidate.vm->runs.contains(key);
+}
+
 /// @return true unless the VM has an earlier run of the task, or as many tasks
 /// of the step as allowed.
 bool IsOpenToTask(const CandidateVm& candidate, const StepSpec& step,
                   const TaskKey& key) {
-  if (candidate.vm->runs.contains(key)) return false;
+  if (HasEarlierRun(candidate, key)) return false;
   return step.max_per_vm == 0 ||
          CountRunsOfStep(*candidate.vm, key) < step.max_per_vm;
 }
@@ -223,6 +258,7 @@
     score -= 8;
   }
   if (!candidate.vm->failing_jobs.empty()) score -= 4;
+  if (candidate.vm->id == task.last_vm) score -= kLastVmPenalty;
   if (!step.data_rack.empty() &&
       candidate.vm->worker.rack.value != step.data_rack) {
     score -= 2;
@@ -251,13 +287,15 @@
   pass.unmet.push_back(std::move(unmet));
 }
 
-CandidateVm* ChooseVm(const ShardState& shard, MonotonicTime now,
-                      PlacementPass& pass, const QueueTerms& terms,
-                      const StepSpec& step, const TaskKey& key,
-                      const TaskEntity& task) {
+VmChoice ChooseVm(const ShardState& shard, MonotonicTime now,
+                  PlacementPass& pass, const QueueTerms& terms,
+                  const StepSpec& step, const TaskKey& key,
+                  const TaskEntity& task) {
   const bool may_wait = now - task.since < kMaxFillerWait;
-  if (IsKnownUnmet(pass, terms, step, may_wait)) return nullptr;
-  CandidateVm* best = nullptr;
+  VmChoice out;
+  // Fillers of one step may differ in how long they may still wait.
+  out.others_may_fit = step.filler && may_wait;
+  if (IsKnownUnmet(pass, terms, step, may_wait)) return out;
   double best_score = kUnsuitable;
   bool ruled_out_by_serving = false;
   bool closed_to_task = false;
@@ -266,18 +304,19 @@
     if (!HasRoom(candidate, terms, step)) continue;
     if (!IsOpenToTask(candidate, step, key)) {
       closed_to_task = true;
+      if (HasEarlierRun(candidate, key)) out.others_may_fit = true;
       continue;
     }
     const double score = Score(shard, now, candidate, step, task);
     if (score == kUnsuitable) ruled_out_by_serving = true;
     if (score <= best_score) continue;
-    best = &candidate;
+    out.vm = &candidate;
     best_score = score;
   }
   // Other tasks may still use a VM that is closed to this one only.
-  if (best == nullptr && !closed_to_task)
+  if (out.vm == nullptr && !closed_to_task)
     RememberUnmet(pass, terms, step, ruled_out_by_serving);
-  return best;
+  return out;
 }
 
 void Reserve(const ShardState& shard, CandidateVm& candidate,
@@ -323,6 +362,7 @@
   task.phase = TaskPhase::kPlaced;
   task.run = number;
   task.vm = vm.id;
+  task.last_vm = vm.id;
   task.since = now;
   VmRun run;
   run.run = number;
@@ -349,16 +389,14 @@
     TaskEntity& task = step.tasks[key.index];
     if (task.phase != TaskPhase::kIdle || task.not_before > now) continue;
     if (has_suspect && shard.suspects.contains(key)) continue;
-    CandidateVm* candidate =
+    const VmChoice choice =
         ChooseVm(shard, now, pass, ready_step.job->terms, spec, key, task);
-    if (candidate == nullptr) {
-      // The other tasks of the step need the same resources, so none of them
-      // fits either, unless the VMs to avoid differ.
-      if (task.failed_on.empty()) return;
+    if (choice.vm == nullptr) {
+      if (!choice.others_may_fit) return;
       continue;
     }
-    Reserve(shard, *candidate, spec);
-    AssignTask(shard, now, *candidate->vm, spec, key, task,
+    Reserve(shard, *choice.vm, spec);
+    AssignTask(shard, now, *choice.vm->vm, spec, key, task,
                NextRunNumber(shard, task.run), log);
   }
 }
