--- a/source/sched/waiting.cc
+++ b/source/sched/waiting.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <string>
 
+#include "sched/detail.h"
 #include "sched/shard_state.h"
 
 // Diagnostics only: states why lasting tasks are not placed, and when serving
@@ -22,16 +23,6 @@
   int suitable = 0;
 };
 
-Resources UnreservedOn(const VmEntity& vm) {
-  Resources out = vm.worker.capacity;
-  for (const auto& [key, run] : vm.runs) {
-    Resources size = run.size;
-    if (run.filler) size.cpu = MilliCpu(0);
-    out -= size;
-  }
-  return out;
-}
-
 bool IsClosedToTask(const VmEntity& vm, const StepSpec& step,
                     const TaskKey& key) {
   if (vm.runs.contains(key)) return true;
@@ -57,7 +48,7 @@
     if (vm.synced && (vm.worker.service != service || !has_label)) continue;
     if (!vm.synced || !vm.worker.responsive || vm.worker.draining) {
       ++out.unavailable;
-    } else if (!Fits(step.each, UnreservedOn(vm))) {
+    } else if (!Fits(step.each, vm.worker.capacity - ReservedCapacity(vm))) {
       ++out.without_room;
     } else if (IsClosedToTask(vm, step, key)) {
       ++out.closed_to_task;
