List a VM only while it has a worker or runs

Change: the planner unlists a VM that its own report shows without runs and with a worker that leaves, once it has been silent for 1 s; an agent writes its row when a worker announces itself, and writes it again only for a worker that stays.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -41,7 +41,6 @@
 }
 
 void Agent::Start() {
-  WriteAgentRow();
   loop_.RunEvery(kTickInterval, [this] { Tick(); });
 }
 
@@ -67,6 +66,10 @@
   });
 }
 
+bool Agent::HasWorker() const {
+  return !table_.worker.id.empty() && !table_.worker.draining;
+}
+
 void Agent::EnsureRowExists() {
   const MonotonicTime now = loop_.now();
   if (!row_written_ || row_write_in_flight_ ||
@@ -82,7 +85,7 @@
                                 [&](const StoreRow& row) {
                                   return row.at.key == settings_.vm.value;
                                 });
-                if (!exists) WriteAgentRow();
+                if (!exists && HasWorker()) WriteAgentRow();
               });
 }
 
@@ -154,6 +157,9 @@
     Log(Event::kWorkerDraining, {{"worker", hello.worker.id.value},
                                  {"remaining_ms", hello.worker.remaining_ms}});
   }
+  // A planner that takes over waits for each listed VM. One without a worker
+  // has nothing to report.
+  if (!row_written_ && HasWorker()) WriteAgentRow();
   Renew();
   AnswerPendingSyncs();
 }
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -51,6 +51,8 @@
   void SendWorkerCalls();
   void AnswerPendingSyncs();
   void Answer(const Exchange& exchange, const SyncRequest& request);
+  /// @return true if the VM has a worker that is not about to leave.
+  bool HasWorker() const;
   void EnsureRowExists();
   void WriteAgentRow();
   void Tick();
--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -29,6 +29,8 @@
 /// The same for a VM whose leases from this planner have expired. The next
 /// planner waits for all VMs that are listed before it places stored jobs.
 constexpr Duration kLostVmTimeout{8'000};
+/// The same for a VM whose worker has left and that has no runs.
+constexpr Duration kLeftVmTimeout{1'000};
 /// All leases from earlier planners have expired this long after a takeover.
 constexpr Duration kEarlierLeases =
     kOwnershipProofValidity + kLeaseGrantDuration +
@@ -40,6 +42,21 @@
          now - took_over_at >= kEarlierLeases;
 }
 
+/// @return true if no task can be on the VM: its agent follows this planner,
+/// and its worker starts nothing more.
+bool HasLeft(const VmEntity& vm) {
+  return vm.synced && vm.worker.draining && vm.runs.empty() &&
+         vm.uncommitted_ends.empty();
+}
+
+/// @return how long the VM may be silent before it is no longer listed.
+Duration SilenceAllowed(const VmEntity& vm, MonotonicTime took_over_at,
+                        MonotonicTime now) {
+  if (HasLeft(vm)) return kLeftVmTimeout;
+  if (vm.synced) return Duration::max();
+  return HasNoLease(vm, took_over_at, now) ? kLostVmTimeout : kSilentVmTimeout;
+}
+
 }  // namespace
 
 void Planner::ApplyAgentRow(const StoreRow& row) {
@@ -205,10 +222,7 @@
     VmEntity& vm = it->second;
     const MonotonicTime last_heard_at =
         std::max(vm.last_report_at, vm.listed_at);
-    const Duration timeout = HasNoLease(vm, board_.took_over_at, now)
-                                 ? kLostVmTimeout
-                                 : kSilentVmTimeout;
-    if (vm.synced || now - last_heard_at < timeout) {
+    if (now - last_heard_at < SilenceAllowed(vm, board_.took_over_at, now)) {
       ++it;
       continue;
     }
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include "agent/agent.h"
 #include "agent/run_table.h"
 #include "planner/gateway.h"
 #include "planner/memory_store.h"
@@ -388,6 +389,48 @@
   }
 }
 
+// On a standard day, lasting tasks waited 11 s after a takeover for a VM that
+// had left before.
+TEST_CASE("the next planner does not wait for a VM whose worker has left") {
+  TestCluster cluster;
+  Entry a(cluster, "a", kFirst);
+  const StoreKey at{table::kAgents, "shard-0", "vm"};
+  Answers answers;
+  bool has_run = false;
+  SUBCASE("without runs") {}
+  SUBCASE("with a run") { has_run = true; }
+  cluster.Advance(Duration(1'000));
+  if (has_run) {
+    a.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
+    cluster.Advance(Duration(300));
+    REQUIRE(cluster.agent.runs.size() == 1);
+  }
+  WorkerHello leaving;
+  leaving.worker = cluster.agent.worker;
+  leaving.worker.draining = true;
+  ApplyWorkerHello(cluster.agent, cluster.loop.now(), leaving);
+  cluster.Advance(Duration(1'000));
+  CHECK(cluster.memory.rows.contains(at));
+  cluster.agent_reachable = false;
+  cluster.Advance(Duration(2'500));
+  CHECK(cluster.memory.rows.contains(at) == has_run);
+}
+
+TEST_CASE("a VM is listed once it has a worker") {
+  TestCluster cluster;
+  const StoreKey at{table::kAgents, "shard-0", "new-vm"};
+  Agent agent(cluster.loop, cluster.store, cluster.metrics, {},
+              {VmId("new-vm"), DataCentreId(), kAgent});
+  agent.Start();
+  cluster.Advance(Duration(1'000));
+  CHECK_FALSE(cluster.memory.rows.contains(at));
+  WorkerHello hello;
+  hello.worker.id = WorkerId("w");
+  agent.HandleWorkerHello(hello);
+  cluster.Advance(Duration(100));
+  CHECK(cluster.memory.rows.contains(at));
+}
+
 // A planner that is cut off or paused does not hear of its replacement at once.
 // Its successor accepts jobs that it knows nothing of.
 TEST_CASE("a planner without recent proof of ownership denies no job") {
