Date a crash by the call that it cuts off, not by the last listing

Cause: a renewal waits up to 300 ms, so that the worker's last sign of life is often older than the start of the suspect before the guilty one. Both were then charged, and a crash by chance could count as immediate. The simulation answered each renewal at once and did not show it. Change: the agent keeps when a call first went unanswered; if the worker had answered in time until then, that is when it crashed. The simulation's worker answers a renewal after its wait or at an end.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -81,10 +81,16 @@
   for (const LapsedRun& run : on_worker) {
     last_start = std::max(last_start, run.start_sent_at);
   }
-  // The worker may have crashed at any time after its last sign of life, so
+  // A worker that has answered in time until a call fails crashed just then. A
+  // silent one may have crashed at any time after its last sign of life, so
   // that later starts may never have reached it.
+  const Duration silence = table.worker_failed_at - table.worker_heard_at;
+  const bool was_silent = table.worker_failed_at == MonotonicTime{} ||
+                          silence > kRenewalWait + kCrashSuspectWindow;
+  const MonotonicTime alive_at =
+      was_silent ? table.worker_heard_at : table.worker_failed_at;
   const MonotonicTime suspected_from =
-      std::min(last_start, table.worker_heard_at) - kCrashSuspectWindow;
+      std::min(last_start, alive_at) - kCrashSuspectWindow;
   const auto is_suspect = [&](const LapsedRun& run) {
     return run.start_sent_at >= suspected_from;
   };
@@ -95,7 +101,7 @@
   for (LapsedRun& run : on_worker) {
     CrashEvidence crash;
     if (crashed) {
-      const Duration age = table.worker_heard_at - run.start_sent_at;
+      const Duration age = alive_at - run.start_sent_at;
       crash.run_age_ms = std::max<int64_t>(0, age.count());
       if (is_suspect(run)) crash.suspects = static_cast<uint32_t>(suspects);
     }
@@ -346,6 +352,7 @@
   table.worker.capacity = {};
   table.clock_known = false;
   table.worker.responsive = false;
+  table.worker_failed_at = {};
   table.lease_sent_until = {};
   table.leases_in_flight.clear();
   table.renew_immediately = true;
@@ -483,6 +490,7 @@
   switch (result.outcome) {
     case CallOutcome::kOk:
       table.worker_heard_at = now;
+      table.worker_failed_at = {};
       run.phase = RunPhase::kRunning;
       run.confirmed_at = now;
       MarkChanged(table, run);
@@ -494,6 +502,8 @@
       }
       break;
     case CallOutcome::kUnknown:
+      if (table.worker_failed_at == MonotonicTime{})
+        table.worker_failed_at = now;
       run.start_unanswered = true;
       break;
     case CallOutcome::kRejected:
@@ -590,6 +600,7 @@
   table.clock_ms = listing.clock_ms;
   table.clock_at = now;
   table.worker_heard_at = now;
+  table.worker_failed_at = {};
   table.lapsed.clear();
   SetResponsive(table, true);
   if (!table.settled) ++table.version;
@@ -605,7 +616,6 @@
 
 void HandleRenewalFailure(RunTable& table, MonotonicTime now,
                           const RenewCall& call, const CallResult& result) {
-  (void)now;
   // kRejected means that the renewal did not reach the worker, so the worker
   // has not received its lease.
   const bool reached = result.outcome != CallOutcome::kRejected;
@@ -615,6 +625,7 @@
   if (result.outcome == CallOutcome::kFenced) {
     return HandleFencedCall(table, call.call.fencing);
   }
+  if (table.worker_failed_at == MonotonicTime{}) table.worker_failed_at = now;
   SetResponsive(table, false);
 }
 
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -108,6 +108,8 @@
 
   /// When the worker last answered a call.
   MonotonicTime worker_heard_at{};
+  /// When a call first went unanswered after that; zero if none did.
+  MonotonicTime worker_failed_at{};
 
   std::map<TaskKey, AgentRun> runs;
   /// Runs of the present worker process that lapsed since it last answered.
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -453,6 +453,42 @@
   CHECK(ends[1].crash.run_age_ms == 40);
 }
 
+// Renewals wait up to 300 ms, so that the worker was last heard at the start of
+// the earlier run.
+TEST_CASE("only the last run is a suspect while a renewal waits") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  const auto waiting = BeginRenewal(table, kNow);
+  REQUIRE(waiting);
+  const MonotonicTime later = kNow + Duration(155);
+  Order(table, {Start(kOther, 1)});
+  const auto calls = BeginStartCalls(table, later);
+  const MonotonicTime lost = later + Duration(5);
+  FinishStartCall(table, lost, calls[0], {CallOutcome::kUnknown, "link lost"});
+  HandleRenewalFailure(table, lost, *waiting,
+                       {CallOutcome::kUnknown, "link lost"});
+  ApplyWorkerHello(table, later + Duration(3'000), Hello("w", 200));
+  const auto ends = Ends(table);
+  REQUIRE(ends.size() == 2);
+  CHECK(ends[0].crash.suspects == 0);
+  CHECK(ends[1].crash.suspects == 1);
+}
+
+// A crash by chance 250 ms after a start, before the next listing.
+TEST_CASE("the age of a run is not cut short by a renewal that waits") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  const auto waiting = BeginRenewal(table, kNow);
+  REQUIRE(waiting);
+  HandleRenewalFailure(table, kNow + Duration(250), *waiting,
+                       {CallOutcome::kUnknown, "link lost"});
+  ApplyWorkerHello(table, kNow + Duration(3'000), Hello("w", 200));
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].crash.run_age_ms > 25);
+}
+
 TEST_CASE("a worker that announced its end did not crash") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
--- a/tests/planner/deadly_tasks_test.cc
+++ b/tests/planner/deadly_tasks_test.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "agent/run_table.h"
@@ -37,6 +39,8 @@
   int64_t born_ms = 0;
   std::map<TaskKey, WorkerTask> running;
   std::vector<WorkerRunEnd> ends;
+  /// Renewal that the worker has not answered yet.
+  std::optional<RenewCall> renewal;
 };
 
 /// One planner and its agents. Rows of the store are kept as bytes; nothing
@@ -223,13 +227,20 @@
     ExpireLeases(vm.agent, now_);
   }
 
+  /// The worker answers a renewal after its wait time, or at an end.
   void Renew(SimulatedVm& vm) {
-    const auto call = BeginRenewal(vm.agent, now_);
-    if (!call) return;
+    if (vm.agent.renew_immediately) vm.renewal.reset();
+    if (!vm.renewal) vm.renewal = BeginRenewal(vm.agent, now_);
+    if (!vm.renewal) return;
     if (!vm.up) {
-      return HandleRenewalFailure(vm.agent, now_, *call,
+      const RenewCall failed = *std::exchange(vm.renewal, std::nullopt);
+      return HandleRenewalFailure(vm.agent, now_, failed,
                                   {CallOutcome::kUnknown, "link lost"});
     }
+    const bool has_end =
+        !vm.ends.empty() && vm.ends.back().number > vm.renewal->recorded;
+    if (!has_end && now_ - vm.renewal->sent_at < vm.renewal->wait) return;
+    const auto call = std::exchange(vm.renewal, std::nullopt);
     WorkerListing listing;
     listing.clock_ms = now_.time_since_epoch().count() - vm.born_ms;
     listing.born_ms = vm.born_ms;
