A suspect whose run ends by itself is no suspect

Cause: only a run of 0.8 s cleared a suspect. Change: an end as done or failed ends the suspicion; the count of its crashes is kept.

--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -170,6 +170,11 @@
   if (task->phase == TaskPhase::kDone || IsFailureRecorded(*task, end)) return;
   ProcessWorkerCrash(shard, now, *job, *task, vm, end, log);
   if (IsFinal(job->state)) return;
+  // The worker has survived the run. A lasting task may end before it is
+  // cleared each time, and would keep its VM closed to all others.
+  if (end.end == RunEnd::kDone || end.end == RunEnd::kFailed) {
+    shard.suspects.erase(end.task);
+  }
   const bool is_current = task->phase == TaskPhase::kPlaced &&
                           task->vm == vm.id && task->run == end.run;
   // A run that an earlier planner started, or one on a VM that was considered
--- a/tests/sched/suspects_test.cc
+++ b/tests/sched/suspects_test.cc
@@ -347,6 +347,23 @@
   CHECK((VmOf(shard, Key("j", 0, 1)) != nullptr) == step.lasting);
 }
 
+// Its VM would stay closed to all other tasks.
+TEST_CASE("a lasting suspect that keeps failing does not stay a suspect") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 1);
+  StepSpec step = Step(1, 1'000);
+  step.lasting = true;
+  AcceptJob(shard, "j", {step});
+  const TaskKey task = Key("j", 0, 0);
+  CrashOnce(shard, kNow, task, kOnlySuspect);
+  Place(shard, kNow + kLater);
+  VmEntity& vm = *VmOf(shard, task);
+  ReportAllRunning(shard, vm, kNow + kLater);
+  EndRun(shard, vm, task, RunNumber(2), RunEnd::kFailed, kNow + kLater);
+  CHECK(shard.suspects.empty());
+  CHECK(FindTask(shard, task)->crashed_runs.size() == 1);
+}
+
 TEST_CASE("crashes count under the next planner") {
   ShardState first = NewBoard();
   AddVms(first, 4);
