Weigh each VM once when suspects are placed

A task that is placed on a VM that is not known is passed over in place of an exception; no path to it was found. No change of decisions; sched_test 84 cases pass.

--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -53,6 +53,8 @@
   bool busy_with_suspect = false;
   /// Only suspects may start here.
   bool reserved_for_suspects = false;
+  /// See LossOnCrash; empty until it is needed.
+  std::optional<int64_t> loss_on_crash;
 };
 
 /// A request that no VM could satisfy in this pass.
@@ -442,16 +444,18 @@
           !IsOpenToTask(candidate, spec, key)) {
         continue;
       }
-      const int64_t loss = LossOnCrash(*candidate.vm, shard);
-      if (best != nullptr && loss >= least_loss) continue;
+      if (!candidate.loss_on_crash)
+        candidate.loss_on_crash = LossOnCrash(*candidate.vm, shard);
+      if (best != nullptr && *candidate.loss_on_crash >= least_loss) continue;
       best = &candidate;
-      least_loss = loss;
+      least_loss = *candidate.loss_on_crash;
     }
     if (best == nullptr) return;
     Reserve(shard, *best, spec);
     if (!best->testing_suspect) --slots;
     best->testing_suspect = true;
     best->busy_with_suspect = true;
+    best->loss_on_crash.reset();
     AssignTask(shard, now, *best->vm, spec, key, task,
                NextRunNumber(shard, task.run), log);
   }
--- a/source/sched/suspects.cc
+++ b/source/sched/suspects.cc
@@ -142,7 +142,9 @@
     const TaskEntity* const task = FindTask(shard, key);
     if (task == nullptr || task->phase != TaskPhase::kPlaced) continue;
     out.vms.insert(task->vm);
-    const VmEntity& vm = shard.vms.at(task->vm);
+    const auto found = shard.vms.find(task->vm);
+    if (found == shard.vms.end()) continue;
+    const VmEntity& vm = found->second;
     const auto run = vm.runs.find(key);
     const bool busy =
         run == vm.runs.end() ||
