--- a/tests/sched/suspects_test.cc
+++ b/tests/sched/suspects_test.cc
@@ -386,6 +386,71 @@
   CHECK(second.suspects.empty());
 }
 
+// Known to fail, see KNOWN-RED.txt.
+TEST_CASE("lasting suspects of a late crash run again within 9 s" *
+          doctest::skip()) {
+  constexpr uint32_t kTasks = 8;
+  ShardState shard = NewBoard();
+  AddVms(shard, 3, 16'000);
+  StepSpec step = Step(kTasks, 1'000);
+  step.lasting = true;
+  AcceptJob(shard, "j", {step});
+  Place(shard);
+  VmEntity& vm = *VmOf(shard, Key("j", 0, 0));
+  REQUIRE(vm.runs.size() == kTasks);
+  ReportAllRunning(shard, vm);
+  std::vector<CrashedRun> crashed;
+  for (uint32_t i = 0; i < kTasks; ++i) {
+    crashed.push_back({Key("j", 0, i), {1'900, kTasks}});
+  }
+  CrashWorker(shard, vm, kNow, crashed);
+  const MonotonicTime end = kNow + Duration(9'000);
+  size_t running = 0;
+  for (MonotonicTime now = kNow; now <= end; now += Duration(20)) {
+    Place(shard, now);
+    running = 0;
+    for (auto& [id, it] : shard.vms) {
+      ReportAllRunning(shard, it, now);
+      running += it.runs.size();
+    }
+  }
+  CHECK(running == kTasks);
+}
+
+// Known to fail, see KNOWN-RED.txt.
+TEST_CASE("a task that crashes workers late has a budget" * doctest::skip()) {
+  ShardState shard = NewBoard();
+  AddVms(shard, 2);
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  MonotonicTime now = kNow;
+  constexpr int kAllowedStarts = 5;
+  for (int i = 0; i < kAllowedStarts; ++i) {
+    if (job.state != JobState::kPending) break;
+    CrashOnce(shard, now, Key("j", 0, 0), {2'100, 1});
+    now += 5 * kLater;
+  }
+  CHECK(job.state == JobState::kFailed);
+}
+
+// Known to fail, see KNOWN-RED.txt.
+TEST_CASE("a delayed crash counts under the next planner" * doctest::skip()) {
+  ShardState first = NewBoard();
+  AddVms(first, 2);
+  JobEntity& job = AcceptJob(first, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  CrashOnce(first, kNow, task, {1'200, 1});
+  ShardState second = NewBoard();
+  second.epoch = PlannerEpoch(2);
+  AddVms(second, 2);
+  JobEntity& loaded = AcceptJob(second, "j", {Step(1, 1'000)});
+  ApplyProgress(second, kNow, loaded, MakeProgressRow(job));
+  Place(second);
+  VmEntity& vm = *VmOf(second, task);
+  ReportAllRunning(second, vm);
+  ReportAllRunning(second, vm, kNow + Duration(850));
+  CHECK(FindTask(second, task)->crashed_runs.size() == 1);
+}
+
 TEST_CASE("an end without evidence from an earlier agent can be decoded") {
   const auto end =
       nlohmann::json::parse(R"([3,["j",0,0,0],1,"worker_lost","",""])")
