--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -147,8 +147,8 @@
 
 /// Evidence whether a run crashed its worker.
 struct CrashEvidence {
-  /// How long the run had been on the worker at the worker's last sign of life,
-  /// in ms; negative if the worker did not crash.
+  /// How long the run had been on the worker when it crashed, as far as the
+  /// agent knows, in ms; negative if the worker did not crash.
   int64_t run_age_ms = -1;
   /// Number of runs, including this one, that were started last before the
   /// crash; 0 if this run was started earlier.
