--- a/tests/planner/deadly_tasks_test.cc
+++ b/tests/planner/deadly_tasks_test.cc
@@ -124,9 +124,9 @@
         CHECK(job.state == JobState::kCompleted);
       }
     }
-    for (const auto& [task, starts] : starts_after_three_crashes_) {
-      CAPTURE(ToString(task));
-      CHECK(starts < 3);
+    for (const auto& it : starts_after_three_crashes_) {
+      CAPTURE(ToString(it.first));
+      CHECK(it.second < 3);
     }
     CHECK(shard_.suspects.empty());
   }
