--- a/review/harness.py
+++ b/review/harness.py
@@ -867,9 +867,13 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
-            return await asyncio.wait_for(play(), RUN_LIMIT_S)
+            code = await asyncio.wait_for(play(), RUN_LIMIT_S)
         except (asyncio.TimeoutError, asyncio.CancelledError):
             print("not run: stopped or took too long")
-            return 2
+            code = 2
+        # All programs have ended; the stand-ins' calls that still wait aren't
+        # awaited.
+        sys.stdout.flush()
+        os._exit(code)
 
-    sys.exit(asyncio.run(limited()))
+    asyncio.run(limited())
