Log event for runs that an agent does not have

RemoveMissingRuns returned a task to the idle state without a line in the log. Of a VM that lost power, the log therefore did not tell whether its runs were dropped or kept; the only trace was the count in vm.synced. Event 9112 run.missing names the task, the run and whether the run had been reported.

No change of behaviour. Tests of sched, planner and base pass.

--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -271,6 +271,9 @@
        "a suspected task has run for a while and the worker has not crashed"},
       {Event::kTaskGivenUp, "task.given_up", kPlanning, kWarning,
        "a task is proven to crash workers; its job has failed"},
+      {Event::kRunMissing, "run.missing", kPlanning, kWarning,
+       "an agent does not have a run that was ordered or reported before, and "
+       "reported no end of it; its task is idle again"},
       {Event::kTaskWaiting, "task.waiting", kPlanning, kWarning,
        "a lasting task is idle for over a second, with the reason"},
       {Event::kTailOverTarget, "tail.over_target", kPlanning, kInfo,
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -88,6 +88,7 @@
   kTaskSuspected = 9109,
   kTaskCleared = 9110,
   kTaskGivenUp = 9111,
+  kRunMissing = 9112,
   kTaskWaiting = 9120,
   kTailOverTarget = 9121,
   kTailWithinTarget = 9122,
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -238,6 +238,8 @@
           return Event::kFillersPaced;
         case Decision::Kind::kAdopted:
           return Event::kRunAdopted;
+        case Decision::Kind::kMissing:
+          return Event::kRunMissing;
         case Decision::Kind::kSuspected:
           return Event::kTaskSuspected;
         case Decision::Kind::kCleared:
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -247,7 +247,7 @@
 /// In a complete report these are all runs that are not listed, otherwise only
 /// starts that the agent ignored.
 void RemoveMissingRuns(ShardState& shard, MonotonicTime now, VmEntity& vm,
-                       const SyncReport& report) {
+                       const SyncReport& report, Decisions& log) {
   std::set<TaskKey> reported;
   for (const RunReport& run : report.runs) reported.insert(run.task);
   for (auto it = vm.runs.begin(); it != vm.runs.end();) {
@@ -261,6 +261,13 @@
       ++it;
       continue;
     }
+    Decision decision;
+    decision.kind = Decision::Kind::kMissing;
+    decision.task = it->first;
+    decision.vm = vm.id;
+    decision.run = run.run;
+    decision.reason = run.seen ? "reported before" : "ordered before";
+    log.push_back(std::move(decision));
     TaskEntity* task = FindTask(shard, it->first);
     if (task != nullptr && task->phase == TaskPhase::kPlaced &&
         task->vm == vm.id && task->run == run.run) {
@@ -333,7 +340,7 @@
     vm.uncommitted_ends.push_back({end.number, shard.change});
   }
   for (const RunReport& run : report.runs) ProcessRun(shard, now, vm, run, log);
-  RemoveMissingRuns(shard, now, vm, report);
+  RemoveMissingRuns(shard, now, vm, report, log);
   ClearProvenSuspects(shard, now, vm, log);
   UpdateModelsFromReport(shard, now, vm, report);
   vm.seen_version = report.version;
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -236,6 +236,7 @@
     kTakenBack,
     kPaced,
     kAdopted,
+    kMissing,
     kSuspected,
     kCleared,
     kGivenUp,
