Start the runs again that a restarted agent does not have

Cause: a VmRun keeps the number of the batch that ordered it, and RemoveMissingRuns keeps a run whose batch number is above that of the report, as its start may still be on its way. Batch numbers count within one process of an agent. A restarted agent reports batch 0, so every run that its former process had reported counted as a start on its way; once the VM was synced, reports are no longer complete and nothing removed the run.

Change: the batch number decides only about a run that was never reported. A run that was reported and is absent from a complete report is gone: an agent sends a complete report only after its worker has listed its runs, or after all leases that an earlier process gave have expired. Starts that were never confirmed still go to the new process.

--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -245,19 +245,19 @@
 
 /// Removes runs that the agent does not have and whose end it did not report.
 /// In a complete report these are all runs that are not listed, otherwise only
-/// starts that the agent ignored.
+/// starts that the agent ignored. Batch numbers say nothing about a run that
+/// was reported before, perhaps by an earlier process of the agent.
 void RemoveMissingRuns(ShardState& shard, MonotonicTime now, VmEntity& vm,
                        const SyncReport& report, Decisions& log) {
   std::set<TaskKey> reported;
   for (const RunReport& run : report.runs) reported.insert(run.task);
   for (auto it = vm.runs.begin(); it != vm.runs.end();) {
     const VmRun& run = it->second;
+    const bool unsent = run.start_batch == 0;
     const bool start_pending =
-        run.start_batch != 0 && run.start_batch > report.batch;
-    const bool unsent = run.start_batch == 0 && !run.seen;
-    const bool listed_before = run.seen && !report.complete;
-    if (reported.contains(it->first) || start_pending || unsent ||
-        listed_before) {
+        !run.seen && (unsent || run.start_batch > report.batch);
+    const bool unchanged = run.seen && !report.complete;
+    if (reported.contains(it->first) || start_pending || unchanged) {
       ++it;
       continue;
     }
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -318,6 +318,27 @@
   CHECK(cluster.agent.lease_until > cluster.loop.now());
 }
 
+// Regression test: the planner took the runs of a VM that had lost power for
+// running as long as it planned.
+TEST_CASE("the runs of a VM that loses power for a moment are started again") {
+  TestCluster cluster;
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  Answers answers;
+  a.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
+  cluster.Advance(Duration(300));
+  REQUIRE(cluster.worker_runs.size() == 1);
+  cluster.agent_reachable = false;
+  cluster.worker_runs.clear();
+  cluster.worker_fencing = 0;
+  cluster.Advance(Duration(3'500));
+  cluster.StartAgent(4);
+  cluster.agent_reachable = true;
+  cluster.Advance(Duration(1'500));
+  REQUIRE(cluster.worker_runs.size() == 1);
+  CHECK(cluster.worker_runs[0].run == RunNumber(2));
+}
+
 TEST_CASE("a planner steps down when an agent reports a newer epoch") {
   TestCluster cluster;
   Entry a(cluster, "a", kFirst);
