Count reported tasks of timed jobs before their occurrence is started

Cause: a planner starts occurrences in its planning pass, and a pass comes 1 ms or more after BeginPlanning has polled the agents. A report that came first named tasks of an occurrence that did not exist yet. FindTask returned null, so an end was dropped but still counted as one whose effect was recorded, and a run was ordered to stop. The occurrence was then started with all its tasks idle. The same follows without a race where the new planner's time of day is behind that of the former one: the occurrence is not due for it yet. So no order of the two steps is enough.

Evidence, log of the next planner in the case: planning.started 06.755, run.ended run=1 outcome=done 06.756 to 06.758, run.placed run=1001 06.758.

Change: an occurrence that an agent reports tasks of was started by an earlier planner, so the report adds it (FindReportedTask). Its idle tasks are not placed before it is due by the clock of this planner, also after a failed run. Restored occurrences get their due time as well; it was the time of the takeover. The log says of an end without a task that it is ignored.

Tests that failed before: planner_test 'timed tasks that end during a takeover do not run again' (6 starts of 3 tasks, state running); sched_test 'the first report after a takeover may end tasks of a timed job' (runs placed, ends acknowledged without effect), 'the first report after a takeover may list runs of a timed job' (run stopped), 'a planner whose clock is behind continues a started occurrence', 'a failed run delays no task to a time before it is due', 'a restored occurrence keeps its due time'.

--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -35,6 +35,12 @@
   }
 }
 
+/// Delays the next placement of a task, which may also have to wait until its
+/// occurrence is due.
+void DelayPlacement(TaskEntity& task, MonotonicTime until) {
+  task.not_before = std::max(task.not_before, until);
+}
+
 void FinishTask(ShardState& shard, MonotonicTime now, JobEntity& job,
                 const TaskKey& key, TaskEntity& task) {
   if (task.phase == TaskPhase::kDone) return;
@@ -89,11 +95,11 @@
   RecordVmFailure(vm, now, key.job, log);
   task.failed_on.push_back(vm.id);
   if (spec.lasting) {
-    task.not_before = now + kLastingRestartDelay;
+    DelayPlacement(task, now + kLastingRestartDelay);
     return;
   }
   task.failed_runs.push_back(run);
-  task.not_before = now + kRetryDelay;
+  DelayPlacement(task, now + kRetryDelay);
   MarkDirty(shard, key.job);
   const size_t attempt_limit = std::max<uint32_t>(1, job.terms.max_attempts);
   if (task.failed_runs.size() < attempt_limit) return;
@@ -119,7 +125,7 @@
     case RunEnd::kFailed:
       return ProcessFailure(shard, now, job, key, task, end.run, vm, log);
     case RunEnd::kNotStarted:
-      task.not_before = now + kRefusedStartDelay;
+      DelayPlacement(task, now + kRefusedStartDelay);
       break;
     case RunEnd::kStopped:
     case RunEnd::kLapsed:
@@ -130,14 +136,15 @@
   }
 }
 
-void LogEnd(const VmEntity& vm, const RunEndReport& end, Decisions& log) {
+void LogEnd(const VmEntity& vm, const RunEndReport& end, bool is_known,
+            Decisions& log) {
   Decision decision;
   decision.kind = Decision::Kind::kEnded;
   decision.task = end.task;
   decision.vm = vm.id;
   decision.run = end.run;
   decision.outcome = ToString(end.end);
-  decision.reason = end.reason;
+  decision.reason = is_known ? end.reason : "no such task, ignored";
   log.push_back(std::move(decision));
 }
 
@@ -163,9 +170,9 @@
                    const RunEndReport& end, Decisions& log) {
   const auto it = vm.runs.find(end.task);
   if (it != vm.runs.end() && it->second.run <= end.run) vm.runs.erase(it);
-  LogEnd(vm, end, log);
   JobEntity* job = FindJob(shard, end.task.job);
-  TaskEntity* task = FindTask(shard, end.task);
+  TaskEntity* task = FindReportedTask(shard, now, end.task);
+  LogEnd(vm, end, task != nullptr, log);
   if (job == nullptr || task == nullptr || IsFinal(job->state)) return;
   if (task->phase == TaskPhase::kDone || IsFailureRecorded(*task, end)) return;
   ProcessWorkerCrash(shard, now, *job, *task, vm, end, log);
@@ -218,7 +225,7 @@
       run.over_target_since = now;
   }
   JobEntity* job = FindJob(shard, report.task.job);
-  TaskEntity* task = FindTask(shard, report.task);
+  TaskEntity* task = FindReportedTask(shard, now, report.task);
   if (job == nullptr || task == nullptr || IsFinal(job->state) ||
       task->phase == TaskPhase::kDone) {
     run.stop_wanted = true;
--- a/source/sched/shard_state.cc
+++ b/source/sched/shard_state.cc
@@ -18,12 +18,34 @@
   for (const StepSpec& step : spec.steps) {
     StepEntity entity;
     entity.tasks.resize(step.count);
-    for (TaskEntity& task : entity.tasks) task.since = due_at;
+    for (TaskEntity& task : entity.tasks) {
+      task.since = due_at;
+      task.not_before = due_at;
+    }
     out.steps.push_back(std::move(entity));
   }
   return out;
 }
 
+MonotonicTime DueTime(const ShardState& shard, const JobEntity& job,
+                      uint32_t occurrence) {
+  const JobSpec& spec = job.record.spec;
+  if (spec.occurrences == 0) return job.accepted_at;
+  return FromUnix(shard, spec.first_due_ms + spec.period_ms * occurrence);
+}
+
+/// Adds an occurrence, unless it exists. Its steps are not marked as ready yet.
+/// Its tasks are not placed before it is due by this planner's clock, which may
+/// be behind that of the planner which started the occurrence.
+OccurrenceEntity& AddOccurrence(const ShardState& shard, JobEntity& job,
+                                uint32_t number) {
+  const auto [it, is_new] = job.occurrences.try_emplace(number);
+  if (is_new) {
+    it->second = MakeOccurrence(job.record.spec, DueTime(shard, job, number));
+  }
+  return it->second;
+}
+
 Duration ObjectiveOf(const JobSpec& spec, const QueueTerms& terms) {
   std::vector<int64_t> finish(spec.steps.size(), 0);
   int64_t longest = 0;
@@ -76,9 +98,7 @@
   job.accepted_at = std::min(now, FromUnix(shard, record.accepted_at_ms));
   if (record.spec.occurrences == 0) {
     job.next_occurrence = 1;
-    auto& occurrence = job.occurrences[0] =
-        MakeOccurrence(record.spec, job.accepted_at);
-    UpdateReadySteps(record.spec, occurrence, now);
+    UpdateReadySteps(record.spec, AddOccurrence(shard, job, 0), now);
   }
   return job;
 }
@@ -91,10 +111,7 @@
         row.occurrence >= spec.occurrence_count()) {
       continue;
     }
-    if (!job.occurrences.contains(row.occurrence)) {
-      job.occurrences[row.occurrence] = MakeOccurrence(spec, now);
-    }
-    auto& step = job.occurrences[row.occurrence].steps[row.step];
+    auto& step = AddOccurrence(shard, job, row.occurrence).steps[row.step];
     const size_t n = std::min(step.tasks.size(), row.done.size());
     for (size_t i = 0; i < n; ++i) {
       if (row.done[i] != '1') continue;
@@ -197,18 +214,13 @@
     const JobSpec& spec = job.record.spec;
     if (spec.occurrences == 0 || !job.accepted) continue;
     while (job.next_occurrence < spec.occurrences) {
-      const int64_t due_unix =
-          spec.first_due_ms + spec.period_ms * job.next_occurrence;
-      const MonotonicTime due = FromUnix(shard, due_unix);
+      const MonotonicTime due = DueTime(shard, job, job.next_occurrence);
       if (due > now) {
         if (!next || due < *next) next = due;
         break;
       }
-      const auto [it, is_new] =
-          job.occurrences.try_emplace(job.next_occurrence++);
-      if (!is_new) continue;
-      it->second = MakeOccurrence(spec, due);
-      UpdateReadySteps(spec, it->second, now);
+      auto& occurrence = AddOccurrence(shard, job, job.next_occurrence++);
+      UpdateReadySteps(spec, occurrence, now);
     }
   }
   return next;
@@ -259,6 +271,20 @@
   return key.index < tasks.size() ? &tasks[key.index] : nullptr;
 }
 
+TaskEntity* FindReportedTask(ShardState& shard, MonotonicTime now,
+                             const TaskKey& key) {
+  const auto it = shard.jobs.find(key.job);
+  if (it == shard.jobs.end()) return nullptr;
+  JobEntity& job = it->second;
+  const bool is_new = !job.occurrences.contains(key.occurrence);
+  if (is_new && !IsFinal(job.state) &&
+      key.occurrence < job.record.spec.occurrence_count()) {
+    OccurrenceEntity& added = AddOccurrence(shard, job, key.occurrence);
+    UpdateReadySteps(job.record.spec, added, now);
+  }
+  return FindTask(shard, key);
+}
+
 const StepSpec* FindStep(const ShardState& shard, const TaskKey& key) {
   const auto job = shard.jobs.find(key.job);
   if (job == shard.jobs.end()) return nullptr;
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -277,7 +277,14 @@
 
 /// Copies the fields of a run that come from the job's spec.
 void SetRunSpec(VmRun& run, const StepSpec& step);
+/// @return null if the task does not exist, or if its occurrence has not been
+/// started by this planner.
 TaskEntity* FindTask(ShardState& shard, const TaskKey& key);
+/// Returns a task that an agent has reported. Its occurrence is added if only
+/// an earlier planner has started it.
+/// @return null if the job has no such task.
+TaskEntity* FindReportedTask(ShardState& shard, MonotonicTime now,
+                             const TaskKey& key);
 /// @return null if the job or the step does not exist.
 const StepSpec* FindStep(const ShardState& shard, const TaskKey& key);
 
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -21,11 +21,15 @@
   Metrics metrics;
   RunTable agent;
   bool agent_reachable = true;
+  Duration message_delay{5};
   std::map<Address, Planner*> planners;
 
   /// The state of the simulated worker: highest fencing number seen, and runs.
   uint64_t worker_fencing = 0;
   std::vector<WorkerRun> worker_runs;
+  std::vector<WorkerRunEnd> worker_ends;
+  /// Starts that the simulated worker has carried out.
+  int worker_starts = 0;
 
   TestCluster() {
     Pause(loop.clock_for_tests());
@@ -59,9 +63,20 @@
     WorkerListing listing;
     listing.clock_ms = loop.now().time_since_epoch().count();
     listing.running = worker_runs;
+    for (const WorkerRunEnd& end : worker_ends) {
+      if (end.number > call->recorded) listing.ended.push_back(end);
+    }
     ApplyWorkerListing(agent, loop.now(), *call, listing);
   }
 
+  /// Ends all runs of the simulated worker.
+  void EndWorkerRuns(RunEnd how) {
+    for (const WorkerRun& run : std::exchange(worker_runs, {})) {
+      worker_ends.push_back(
+          {worker_ends.size() + 1, run.task, run.run, how, ""});
+    }
+  }
+
   void Advance(Duration by) {
     for (Duration gone{0}; gone < by; gone += Duration(5)) {
       almondtally::Advance(loop.clock_for_tests(), Duration(5));
@@ -74,7 +89,7 @@
     links.SetTransport([this, &alive](const Address& to, const char* path,
                                       const std::string& bytes, Duration,
                                       const PeerLinks::BytesCallback& fn) {
-      loop.RunAfter(Duration(5), [this, &alive, to, path, bytes, fn] {
+      loop.RunAfter(message_delay, [this, &alive, to, path, bytes, fn] {
         if (!alive) return;
         if (std::string(path) == path::kSync) return Sync(bytes, fn);
         const auto it = planners.find(to);
@@ -99,6 +114,7 @@
     ApplySyncRequest(agent, loop.now(), *request);
     for (const StartCall& call : BeginStartCalls(agent, loop.now())) {
       worker_runs.push_back({call.start.task, call.start.run, "", 100, -1});
+      ++worker_starts;
       FinishStartCall(agent, loop.now(), call, {});
     }
     Renew();
@@ -113,10 +129,10 @@
   Gateway gateway;
 
   Entry(TestCluster& cluster, const std::string& name, const Address& at,
-        MilliCpu cpu = MilliCpu(0))
+        MilliCpu cpu = MilliCpu(0), Duration take_over_delay = Duration(0))
       : links(cluster.loop),
         planner(cluster.loop, links, cluster.store, cluster.metrics,
-                {EntryId(name), at, Duration(0), cpu, Duration(120'000)}),
+                {EntryId(name), at, take_over_delay, cpu, Duration(120'000)}),
         gateway(cluster.loop, links, planner) {
     cluster.Connect(links, alive);
     cluster.planners[at] = &planner;
@@ -229,6 +245,40 @@
   CHECK(answers.all[1].state == JobState::kRunning);
 }
 
+// Regression test: the next planner acknowledged the ends of timed tasks before
+// it knew their occurrence, and started the tasks again.
+TEST_CASE("timed tasks that end during a takeover do not run again") {
+  TestCluster cluster;
+  auto a = std::make_unique<Entry>(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  // The takeover does not coincide with a periodic planning pass.
+  constexpr Duration kTakeOverDelay{10};
+  Entry b(cluster, "b", kSecond, MilliCpu(0), kTakeOverDelay);
+  JobCall timed = Submit("j");
+  timed.spec.steps[0].count = 3;
+  timed.spec.occurrences = 1;
+  timed.spec.first_due_ms = WallClockMillis();
+  Answers answers;
+  b.gateway.Call(timed, kCallTimeout, answers.Fn());
+  cluster.Advance(Duration(300));
+  REQUIRE(cluster.worker_runs.size() == 3);
+  a->alive = false;
+  cluster.planners.erase(kFirst);
+  a->planner.ReleaseShard();
+  cluster.EndWorkerRuns(RunEnd::kDone);
+  // The agent reports before the next planner's first planning pass.
+  cluster.message_delay = Duration(0);
+  cluster.Advance(Duration(2'500));
+  REQUIRE(b.planner.planning());
+  CHECK(cluster.worker_starts == 3);
+  JobCall read;
+  read.job = JobId("j");
+  b.gateway.Call(read, kCallTimeout, answers.Fn());
+  cluster.Advance(Duration(100));
+  REQUIRE(answers.all.size() == 2);
+  CHECK(answers.all[1].state == JobState::kCompleted);
+}
+
 // A draining entry must keep reading the head row. Otherwise it does not learn
 // the address of the next planner and refuses its callers; in incident maraval
 // inc-4a2b it did so for 4 s.
--- a/tests/sched/reports_test.cc
+++ b/tests/sched/reports_test.cc
@@ -19,7 +19,8 @@
 }
 
 // Regression test: a VM that lost power and was back before its leases expired
-// kept its runs in the planner's view, and their tasks were never started again.
+// kept its runs in the planner's view, and their tasks were never started
+// again.
 TEST_CASE("runs that a restarted agent does not have are started again") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a");
@@ -84,5 +85,128 @@
   CHECK(vm.runs.size() == 1);
 }
 
+/// Returns a planner that took over at kNow and has read a job with one
+/// occurrence from the store. The occurrence is due after `due_in`, by the
+/// planner's clock.
+ShardState PlannerWithTimedJob(Duration due_in) {
+  ShardState shard = NewBoard();
+  shard.epoch = PlannerEpoch(2);
+  JobRecord record;
+  record.spec.id = JobId("j");
+  record.spec.steps = {Step(2, 1'000)};
+  record.spec.occurrences = 1;
+  record.spec.first_due_ms = (kNow + due_in).time_since_epoch().count();
+  record.terms.service = kPool;
+  JobEntity& job = AddJob(shard, kNow, record);
+  job.accepted = true;
+  job.loaded_from_store = true;
+  return shard;
+}
+
+// Regression test: ends of tasks whose occurrence the new planner had not
+// started yet were acknowledged without effect, and the tasks ran twice.
+TEST_CASE("the first report after a takeover may end tasks of a timed job") {
+  ShardState shard = PlannerWithTimedJob(Duration(-500));
+  VmEntity& vm = shard.vms[VmId("a")];
+  vm.id = VmId("a");
+  SyncReport report = Report(vm);
+  report.ends.push_back(
+      {1, Key("j", 0, 0), RunNumber(1), RunEnd::kDone, "", ""});
+  report.ends.push_back(
+      {2, Key("j", 0, 1), RunNumber(1), RunEnd::kDone, "", ""});
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  StartDueOccurrences(shard, kNow);
+  Place(shard);
+  CHECK(vm.runs.empty());
+  CHECK(shard.jobs.at(JobId("j")).state == JobState::kCompleted);
+  // The ends are acknowledged once the store has their effect.
+  CHECK(vm.ends_recorded == 0);
+  MarkChangesRecorded(shard, shard.change);
+  CHECK(vm.ends_recorded == 2);
+}
+
+// Regression test: such runs were stopped.
+TEST_CASE("the first report after a takeover may list runs of a timed job") {
+  ShardState shard = PlannerWithTimedJob(Duration(-500));
+  VmEntity& vm = shard.vms[VmId("a")];
+  vm.id = VmId("a");
+  SyncReport report = Report(vm);
+  report.runs.push_back(Running(Key("j", 0, 0), RunNumber(1)));
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  CHECK_FALSE(vm.runs.at(Key("j", 0, 0)).stop_wanted);
+  StartDueOccurrences(shard, kNow);
+  Place(shard);
+  CHECK(vm.runs.at(Key("j", 0, 0)).run == RunNumber(1));
+  CHECK(vm.runs.contains(Key("j", 0, 1)));
+}
+
+TEST_CASE("a planner whose clock is behind continues a started occurrence") {
+  constexpr Duration kClockDifference{2'000};
+  ShardState shard = PlannerWithTimedJob(kClockDifference);
+  VmEntity& vm = shard.vms[VmId("a")];
+  vm.id = VmId("a");
+  SyncReport report = Report(vm);
+  report.ends.push_back(
+      {1, Key("j", 0, 0), RunNumber(1), RunEnd::kDone, "", ""});
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  StartDueOccurrences(shard, kNow);
+  Place(shard);
+  // The other task waits until it is due by the planner's own clock.
+  CHECK(vm.runs.empty());
+  const MonotonicTime due = kNow + kClockDifference;
+  StartDueOccurrences(shard, due);
+  Place(shard, due);
+  CHECK(vm.runs.size() == 1);
+  CHECK(vm.runs.contains(Key("j", 0, 1)));
+}
+
+TEST_CASE("a failed run delays no task to a time before it is due") {
+  constexpr Duration kClockDifference{2'000};
+  ShardState shard = PlannerWithTimedJob(kClockDifference);
+  shard.jobs.at(JobId("j")).terms.max_attempts = 2;
+  VmEntity& vm = shard.vms[VmId("a")];
+  vm.id = VmId("a");
+  SyncReport report = Report(vm);
+  report.ends.push_back(
+      {1, Key("j", 0, 0), RunNumber(1), RunEnd::kFailed, "", ""});
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  Place(shard, kNow + kClockDifference - Duration(1));
+  CHECK(vm.runs.empty());
+  Place(shard, kNow + kClockDifference);
+  CHECK(vm.runs.size() == 2);
+}
+
+TEST_CASE("a reported occurrence that the job does not have is ignored") {
+  ShardState shard = PlannerWithTimedJob(Duration(-500));
+  VmEntity& vm = shard.vms[VmId("a")];
+  vm.id = VmId("a");
+  SyncReport report = Report(vm);
+  report.runs.push_back(Running({JobId("j"), 1, 0, 0}, RunNumber(1)));
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  CHECK(vm.runs.at({JobId("j"), 1, 0, 0}).stop_wanted);
+  CHECK(shard.jobs.at(JobId("j")).occurrences.empty());
+}
+
+TEST_CASE("a restored occurrence keeps its due time") {
+  ShardState former = PlannerWithTimedJob(Duration(-500));
+  JobEntity& job = former.jobs.at(JobId("j"));
+  StartDueOccurrences(former, kNow);
+  VmEntity& vm = AddVm(former, "a");
+  Place(former);
+  ReportAllRunning(former, vm);
+  EndRun(former, vm, Key("j", 0, 0), vm.runs.begin()->second.run,
+         RunEnd::kDone);
+  const MonotonicTime due = job.occurrences.at(0).due_at;
+  ShardState shard = PlannerWithTimedJob(Duration(-500));
+  JobEntity& restored = shard.jobs.at(JobId("j"));
+  ApplyProgress(shard, kNow + Duration(3'000), restored, MakeProgressRow(job));
+  CHECK(restored.occurrences.at(0).due_at == due);
+}
+
 }  // namespace
 }  // namespace almondtally::sched
