Bound the depth of decoded JSON and CBOR

Here: nlohmann's CBOR decoder, and copying and printing of a value, recurse once a level. A peer message of 1,000,000 nested arrays ended the process; rows of the store have the same decoder and are held to 48 KiB by the store alone, which is enough for a smaller stack. An executor's list with a nested row recursed when the row was written to the log.

Cause: no decoder had a limit on depth, only the size of a body was bounded.

Change: ParseJson and ParseCbor in base/untrusted_json are the one place where text and bytes from outside the process become values. They stop at 64 levels; the messages and rows have four. The error is reported like any other decoding error, so a row is skipped and a message answered with 400. All decoders of rows, messages, replies, job requests, reports, lists and configuration use them; the command line, which reads its own user's files, does not.

Tests that failed before: peer_test 'a deeply nested message is rejected' (SIGSEGV).

--- a/source/external/http_table.cc
+++ b/source/external/http_table.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/untrusted_json.h"
+
 namespace almondtally {
 namespace {
 
@@ -31,7 +33,7 @@
 }
 
 std::optional<std::vector<Row>> ParseRows(const std::string& body) {
-  const json parsed = json::parse(body, nullptr, false);
+  const json parsed = ParseJson(body);
   if (!parsed.is_object() || !parsed.contains("rows")) return std::nullopt;
   std::vector<Row> rows;
   try {
@@ -93,7 +95,7 @@
       if (response->status != kConflict) ++counters.failures;
       return fn(std::nullopt, ReasonFromStatus(*response));
     }
-    const json parsed = json::parse(response->body, nullptr, false);
+    const json parsed = ParseJson(response->body);
     if (!parsed.is_object() || !parsed.contains("version") ||
         !parsed["version"].is_number_unsigned()) {
       return fn(std::nullopt, {PlatformError::kUnknown, "malformed response"});
--- a/source/external/http_worker.cc
+++ b/source/external/http_worker.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/untrusted_json.h"
+
 namespace almondtally {
 namespace {
 
@@ -39,7 +41,7 @@
                               : PlatformError::kRefused;
         return fn(std::nullopt, {code, response->body});
       }
-      json parsed = json::parse(response->body, nullptr, false);
+      json parsed = ParseJson(response->body);
       if (parsed.is_discarded()) {
         return fn(std::nullopt,
                   {PlatformError::kDecode, "the response is not JSON"});
--- a/source/peer/messages.h
+++ b/source/peer/messages.h
@@ -7,6 +7,7 @@
 
 #include "base/ids.h"
 #include "base/resources.h"
+#include "base/untrusted_json.h"
 #include "external/worker.h"
 #include "state/config.h"
 #include "wire/http_types.h"
@@ -282,19 +283,20 @@
 /// @param why set to the error if decoding fails.
 template <typename T>
 std::optional<T> DecodeMessage(const std::string& bytes, WireReason& why) {
+  std::string error;
+  const auto in = ParseCbor(bytes, error);
+  if (!in || !in->is_object()) {
+    why.Set(WireError::kDecode, in ? "not a CBOR map" : error);
+    return std::nullopt;
+  }
   try {
-    const nlohmann::json in = nlohmann::json::from_cbor(bytes);
-    if (!in.is_object()) {
-      why.Set(WireError::kDecode, "not a CBOR map");
-      return std::nullopt;
-    }
-    T message = in.get<T>();
+    T message = in->get<T>();
     if (message.message_version == kMessageVersion) return message;
     why.Set(WireError::kDecode, "message version " +
                                     std::to_string(message.message_version) +
                                     " is not known");
-  } catch (const nlohmann::json::exception& error) {
-    why.Set(WireError::kDecode, error.what());
+  } catch (const nlohmann::json::exception& exception) {
+    why.Set(WireError::kDecode, exception.what());
   }
   return std::nullopt;
 }
--- a/source/sched/job.h
+++ b/source/sched/job.h
@@ -9,6 +9,7 @@
 #include "base/ids.h"
 #include "base/reason.h"
 #include "base/resources.h"
+#include "base/untrusted_json.h"
 
 /// Schedules jobs that consist of dependent steps. All durable state is in a
 /// partitioned store.
@@ -234,10 +235,16 @@
 /// Decodes a row encoded by EncodeRow.
 template <typename T>
 std::optional<T> DecodeRow(const std::string& bytes, JobReason& why) {
+  std::string error;
+  const auto in = ParseCbor(bytes, error);
+  if (!in) {
+    why.Set(JobError::kBadRow, error);
+    return std::nullopt;
+  }
   try {
-    return nlohmann::json::from_cbor(bytes).get<T>();
-  } catch (const nlohmann::json::exception& error) {
-    why.Set(JobError::kBadRow, error.what());
+    return in->get<T>();
+  } catch (const nlohmann::json::exception& exception) {
+    why.Set(JobError::kBadRow, exception.what());
     return std::nullopt;
   }
 }
--- a/source/state/config.cc
+++ b/source/state/config.cc
@@ -2,6 +2,8 @@
 
 #include <set>
 
+#include "base/untrusted_json.h"
+
 namespace almondtally {
 namespace {
 
@@ -9,7 +11,7 @@
 
 template <typename T>
 std::optional<T> ParseValue(const std::string& text) {
-  const json input = json::parse(text, nullptr, false);
+  const json input = ParseJson(text);
   if (!input.is_object()) return std::nullopt;
   try {
     return input.get<T>();
@@ -96,7 +98,7 @@
 template <typename T>
 std::optional<std::string> ValidateAs(const std::string& text,
                                       ConfigReason& why) {
-  const json input = json::parse(text, nullptr, false);
+  const json input = ParseJson(text);
   if (!input.is_object()) {
     why.Set(ConfigError::kBadJson, "the value is not a JSON object");
     return std::nullopt;
@@ -189,7 +191,7 @@
 
 std::optional<Config> DecodeSnapshot(const std::string& text,
                                      ConfigReason& why) {
-  const json input = json::parse(text, nullptr, false);
+  const json input = ParseJson(text);
   try {
     Config config;
     input.at("version").get_to(config.version);
--- a/source/state/config_log.cc
+++ b/source/state/config_log.cc
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "base/untrusted_json.h"
+
 namespace almondtally {
 namespace {
 
@@ -24,7 +26,7 @@
 }
 
 std::optional<ConfigChange> ParseChange(const std::string& text) {
-  const json input = json::parse(text, nullptr, false);
+  const json input = ParseJson(text);
   if (!input.is_object()) return std::nullopt;
   try {
     return input.get<ConfigChange>();
--- a/source/state/jobs.cc
+++ b/source/state/jobs.cc
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "base/untrusted_json.h"
+
 namespace almondtally {
 namespace {
 
@@ -113,7 +115,7 @@
 std::string Encode(const JobRow& row) { return json(row).dump(); }
 
 std::optional<JobRow> DecodeJobRow(const std::string& text, JobReason& why) {
-  const json input = json::parse(text, nullptr, false);
+  const json input = ParseJson(text);
   try {
     if (input.is_object()) return input.get<JobRow>();
     why.Set(JobError::kBadRow, "a job row is not a JSON object");
@@ -131,7 +133,7 @@
 }
 
 std::optional<Chunk> DecodeChunk(const std::string& text, JobReason& why) {
-  const json input = json::parse(text, nullptr, false);
+  const json input = ParseJson(text);
   try {
     Chunk chunk;
     input.at("job").get_to(chunk.job);
--- a/tests/peer/messages_test.cc
+++ b/tests/peer/messages_test.cc
@@ -38,6 +38,17 @@
   CHECK(why.text == "message version 2 is not known");
 }
 
+// Regression test: a peer's message of nested arrays ended the process.
+TEST_CASE("a deeply nested message is rejected") {
+  constexpr size_t kMessageBytes = 1'000'000;
+  constexpr char kArrayOfOne = '\x81';
+  WireReason why;
+  CHECK_FALSE(DecodeMessage<Announcement>(
+      std::string(kMessageBytes, kArrayOfOne), why));
+  CHECK(why.code == WireError::kDecode);
+  CHECK(why.text == "nested more than 64 levels");
+}
+
 TEST_CASE("decoding of mutated messages succeeds or fails with an error") {
   const std::string good = EncodeMessage(SampleAnnounce());
   std::mt19937_64 random(3);
