Skip odd rows in the list of entries

Here: an entry row whose address was no text threw type_error.302 out of ApplyPeerRow, which nothing catches, so each process of 'almondtally serve' that read the list ended, and again after its restart. The claim of an idempotency key and the row of a finished job were read in the same way.

Cause: json::value and json::get throw on a field of another type; these three places of the entry had no check.

Change: a row without a valid address is skipped with a log line (9009 store.row_unreadable). A claim that cannot be read is refused with 503, outcome unknown, as one that cannot be fetched; a job's row that cannot be read is answered with 503.

The claim and the finished job have no test of their own.

--- a/source/entry/admin_api.cc
+++ b/source/entry/admin_api.cc
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "base/log.h"
+#include "base/untrusted_json.h"
 #include "entry/members.h"
 
 namespace almondtally {
@@ -37,7 +38,7 @@
 }
 
 std::optional<json> ParseJsonBody(const Exchange& exchange) {
-  json in = json::parse(exchange.request().body, nullptr, false);
+  json in = ParseJson(exchange.request().body);
   if (!in.is_object()) {
     AnswerError(exchange, kBadRequest, "the body is not a JSON object");
     return std::nullopt;
@@ -69,7 +70,7 @@
   return {{"kind", key.kind},
           {"name", key.name},
           {"version", object.version},
-          {"value", json::parse(object.value, nullptr, false)}};
+          {"value", ParseJson(object.value)}};
 }
 
 json CountTasksByState(const JobEntity& job) {
@@ -322,7 +323,7 @@
                                                   const auto& why) {
     if (!rows) return AnswerError(exchange, kUnavailable, why.text);
     for (const Row& row : *rows) {
-      const json in = json::parse(row.value, nullptr, false);
+      const json in = ParseJson(row.value);
       if (!in.is_object() || in.value("spec", json()) != json(spec)) continue;
       // The same job was submitted again after a lost answer.
       NotifyOwner(spec);
@@ -350,7 +351,11 @@
           return AnswerError(exchange, kNotFound, "no such job");
         const Row& row = rows->front();
         if (row.key == DoneKey(job)) {
-          json out = json::parse(row.value, nullptr, false);
+          json out = ParseJson(row.value);
+          if (!out.is_object()) {
+            return AnswerError(exchange, kUnavailable,
+                               "the row of the job cannot be read");
+          }
           out["finished"] = true;
           return Answer(exchange, kOk, out);
         }
--- a/source/entry/members.cc
+++ b/source/entry/members.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/log.h"
+#include "base/untrusted_json.h"
 
 namespace almondtally {
 namespace {
@@ -16,12 +17,21 @@
   return kEntryPrefix + context.settings.id.value;
 }
 
+/// @return empty if the row has no valid address.
+std::optional<Address> DecodeAddress(const Row& row) {
+  const nlohmann::json parsed = ParseJson(row.value);
+  if (!parsed.is_object()) return std::nullopt;
+  const auto it = parsed.find("address");
+  if (it == parsed.end() || !it->is_string()) return std::nullopt;
+  return ParseAddress(it->get<std::string>());
+}
+
 void ApplyPeerRow(EntryContext& context, const Row& row) {
-  const nlohmann::json parsed =
-      nlohmann::json::parse(row.value, nullptr, false);
-  if (!parsed.is_object()) return;
-  const auto address = ParseAddress(parsed.value("address", ""));
-  if (!address) return;
+  const auto address = DecodeAddress(row);
+  if (!address) {
+    Log(Event::kRowUnreadable, {{"row", row.key}});
+    return;
+  }
   const EntryId id(row.key.substr(std::string(kEntryPrefix).size()));
   if (id == context.settings.id) return;
   const auto [it, is_new] = context.peers.try_emplace(id);
--- a/source/entry/request_router.cc
+++ b/source/entry/request_router.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/untrusted_json.h"
 #include "peer/request_headers.h"
 
 namespace almondtally {
@@ -73,6 +74,16 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClaimRow, vm, incarnation,
                                                 request, as_of, fingerprint)
 
+std::optional<ClaimRow> DecodeClaim(const Row& row) {
+  const nlohmann::json in = ParseJson(row.value);
+  if (!in.is_object()) return std::nullopt;
+  try {
+    return in.get<ClaimRow>();
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::string ClaimRowKey(const ServiceId& service, const std::string& key) {
   return "claim/" + service.value + "/" + key;
 }
@@ -226,9 +237,12 @@
       return Refuse(active, kUnavailable, RequestOutcome::kNotRun,
                     "the key could not be claimed");
     }
-    const auto in = nlohmann::json::parse(rows->front().value, nullptr, false);
-    ClaimRow claim;
-    if (in.is_object()) claim = in.template get<ClaimRow>();
+    const auto decoded = DecodeClaim(rows->front());
+    if (!decoded) {
+      return Refuse(active, kUnavailable, RequestOutcome::kUnknown,
+                    "the claim of this key cannot be read");
+    }
+    const ClaimRow& claim = *decoded;
     if (claim.fingerprint != Fingerprint(active->exchange.request())) {
       return Refuse(active, kUnprocessable, RequestOutcome::kNotRun,
                     "this key was used for another request");
