Identify the head row by its key

With a row of another writer before it, no process could claim the shard: it compared the version of that row with the one of the head row, and each claim was refused.

Change: the row is found by its key.

--- a/source/planner/journal.cc
+++ b/source/planner/journal.cc
@@ -1,5 +1,6 @@
 #include "planner/journal.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "sched/shard_state.h"
@@ -20,20 +21,21 @@
     : store_(store), partition_(std::move(partition)) {}
 
 void Journal::Read(std::function<void(bool ok)> fn) {
-  store_.read(table::kHead, partition_, "",
+  store_.read(table::kHead, partition_, kHeadKey,
               [this, fn = std::move(fn)](std::optional<StoreRows> rows,
                                          const PlatformReason&) {
                 if (!rows) return fn(false);
-                const RowVersion version = rows->rows.empty()
-                                               ? RowVersion(0)
-                                               : rows->rows.front().version;
+                const auto row = std::find_if(
+                    rows->rows.begin(), rows->rows.end(),
+                    [](const StoreRow& it) { return it.at.key == kHeadKey; });
+                const bool exists = row != rows->rows.end();
+                const RowVersion version =
+                    exists ? row->version : RowVersion(0);
                 // A commit may finish while a read is in flight; ignore the
                 // older version.
                 if (version >= version_) {
                   version_ = version;
-                  head_ = rows->rows.empty()
-                              ? std::nullopt
-                              : DecodeShardHead(rows->rows.front().value);
+                  head_ = exists ? DecodeShardHead(row->value) : std::nullopt;
                 }
                 fn(true);
               });
--- a/tests/planner/journal_test.cc
+++ b/tests/planner/journal_test.cc
@@ -48,6 +48,20 @@
   CHECK(outcomes[1] == JournalOutcome::kReplaced);
 }
 
+// Regression test: another row before the head row was taken for it, and no
+// process could claim the shard.
+TEST_CASE("other rows of the head table are not taken for the head row") {
+  MemoryStore memory;
+  const Store store = memory.Make();
+  memory.Apply({{}, {{{"head", "s", "a-row-of-another-writer"}, "x"}}, {}});
+  Journal a(store, "s");
+  CHECK(Claim(a, MakeHead("a", 1)) == JournalOutcome::kCommitted);
+  Journal b(store, "s");
+  b.Read([](bool) {});
+  REQUIRE(b.head());
+  CHECK(b.head()->planner == "a");
+}
+
 TEST_CASE("commits of a replaced owner fail, even if they arrive late") {
   MemoryStore memory;
   const Store store = memory.Make();
