Skip agent rows without a key

Here: a row with an empty key was taken for a VM. As a VM without an id counts as new, each read of the row began to poll it again, and a planner that took over waited for it. Rows that are nested too deeply, hold a number for the address, or name a port out of range were skipped before; they have a test now.

Change: a row without a key is skipped with a log line, and the address of a row is validated where the row is decoded (DecodeAgentRow).

--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -63,17 +63,16 @@
   const VmId id(row.at.key);
   if (row.deleted) return;
   JobReason why;
-  const auto agent = DecodeRow<AgentRow>(row.value, why);
-  const auto address =
-      agent ? ParseAddress(agent->address) : std::optional<Address>();
-  if (!address) {
+  const auto agent = DecodeAgentRow(row.value, why);
+  if (id.empty()) why.Set(JobError::kBadRow, "the key names no VM");
+  if (!agent || id.empty()) {
     Log(Event::kRowUnreadable, {{"row", row.at.key}, {"reason", why.text}});
     return;
   }
   VmEntity& vm = board_.vms[id];
   const bool is_new = vm.id.empty();
   vm.id = id;
-  vm.agent = *address;
+  vm.agent = *ParseAddress(agent->address);
   vm.data_centre = agent->data_centre;
   vm.row_version = row.version;
   if (!is_new) return;
--- a/source/sched/records.cc
+++ b/source/sched/records.cc
@@ -35,4 +35,12 @@
   return out;
 }
 
+std::optional<AgentRow> DecodeAgentRow(const std::string& bytes,
+                                       JobReason& why) {
+  auto row = DecodeRow<AgentRow>(bytes, why);
+  if (!row || ParseAddress(row->address)) return row;
+  why.Set(JobError::kBadRow, "not an address");
+  return std::nullopt;
+}
+
 }  // namespace almondtally::sched
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -348,6 +348,11 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AgentRow, address, data_centre)
 
+/// Decodes the row of an agent and validates its address.
+/// @param why receives the reason if the row is not that of an agent.
+std::optional<AgentRow> DecodeAgentRow(const std::string& bytes,
+                                       JobReason& why);
+
 /// @return the progress row of a job, built from its current state.
 JobProgress MakeProgressRow(const JobEntity& job);
 
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -502,6 +502,65 @@
   CHECK(cluster.memory.rows.contains(at));
 }
 
+/// Values of rows that name no agent.
+std::vector<std::string> OddRowValues() {
+  const nlohmann::json port_out_of_range = {{"address", "10.0.0.8:70000"},
+                                            {"data_centre", "a"}};
+  const nlohmann::json number = {{"address", 1e300}};
+  const nlohmann::json object = {{"address", {{"host", "10.0.0.8"}}}};
+  return {"",
+          "\xff\xfe",
+          std::string(kMaxRowBytes, '\x81'),
+          std::string(kMaxRowBytes, '\x9f'),
+          std::string("\x1b\xff\xff\xff\xff\xff\xff\xff\xff", 9),
+          EncodeRow(port_out_of_range),
+          EncodeRow(number),
+          EncodeRow(object),
+          EncodeRow(nlohmann::json::array({1, 2})),
+          EncodeRow(AgentRow{"", {}})};
+}
+
+TEST_CASE("odd rows beside those of agents do not disturb the others") {
+  TestCluster cluster;
+  int n = 0;
+  for (const std::string& value : OddRowValues()) {
+    cluster.memory.Apply(
+        {{},
+         {{{table::kAgents, "shard-0", "odd" + std::to_string(n++)}, value}},
+         {}});
+  }
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  std::vector<StoreRow> changed;
+  for (const std::string& value : OddRowValues()) {
+    changed.push_back({{table::kAgents, "shard-0", "later"}, value, {}, false});
+  }
+  const StoreKey late_vm{table::kAgents, "shard-0", "vm-listed-later"};
+  changed.push_back(
+      {late_vm, EncodeRow(AgentRow{ToString(kAgent), {}}), {}, false});
+  cluster.memory.Feed(table::kAgents, changed);
+  cluster.Advance(Duration(100));
+  a.planner.UpdateMetrics();
+  CHECK(cluster.metrics.Text().find("{name=\"vms\"} 2") != std::string::npos);
+  Answers answers;
+  a.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
+  cluster.Advance(Duration(300));
+  CHECK(cluster.worker_starts == 1);
+}
+
+// A row without a key names no VM.
+TEST_CASE("an agent row without a key is skipped") {
+  TestCluster cluster;
+  cluster.memory.Apply({{},
+                        {{{table::kAgents, "shard-0", ""},
+                          EncodeRow(AgentRow{ToString(kAgent), {}})}},
+                        {}});
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  a.planner.UpdateMetrics();
+  CHECK(cluster.metrics.Text().find("{name=\"vms\"} 1") != std::string::npos);
+}
+
 // A planner that is cut off or paused does not hear of its replacement at once.
 // Its successor accepts jobs that it knows nothing of.
 TEST_CASE("a planner without recent proof of ownership denies no job") {
