Let an agent replace its row if it cannot be read

Here: an odd value under the key of a VM hid the VM from each later planner. Its agent looked whether the row existed, found that it did, and never wrote it again.

Change: an agent that no planner has contacted for 3 s writes its row again if it is missing or cannot be read. A row that names another valid address is left alone: the VM may have been replaced.

Not covered: between the overwriting and a takeover the planner goes on using the VM, and its successor does not know it.

Test that failed before: planner_test 'an agent restores its row after it was overwritten'.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -16,7 +16,7 @@
 constexpr Duration kRenewPause{15};
 constexpr Duration kRenewRetryDelay{100};
 /// An agent that no planner has contacted for this long checks whether its row
-/// still exists.
+/// is still in the store and readable.
 constexpr Duration kPlannerSilence{3'000};
 constexpr Duration kRowCheckInterval{2'000};
 constexpr Duration kWriteRowRetryDelay{300};
@@ -70,7 +70,7 @@
   return !table_.worker.id.empty() && !table_.worker.draining;
 }
 
-void Agent::EnsureRowExists() {
+void Agent::EnsureRowIsValid() {
   const MonotonicTime now = loop_.now();
   if (!row_written_ || row_write_in_flight_ ||
       now - table_.last_request_at < kPlannerSilence)
@@ -80,12 +80,14 @@
   store_.read(table::kAgents, kShard, settings_.vm.value,
               [this](std::optional<StoreRows> rows, const PlatformReason&) {
                 if (!rows) return;
-                const bool exists =
-                    std::any_of(rows->rows.begin(), rows->rows.end(),
-                                [&](const StoreRow& row) {
-                                  return row.at.key == settings_.vm.value;
-                                });
-                if (!exists && HasWorker()) WriteAgentRow();
+                JobReason why;
+                const bool is_listed = std::any_of(
+                    rows->rows.begin(), rows->rows.end(),
+                    [&](const StoreRow& row) {
+                      return row.at.key == settings_.vm.value &&
+                             DecodeAgentRow(row.value, why).has_value();
+                    });
+                if (!is_listed && HasWorker()) WriteAgentRow();
               });
 }
 
@@ -266,7 +268,7 @@
   ExpireLeases(table_, loop_.now());
   Renew();
   SendWorkerCalls();
-  EnsureRowExists();
+  EnsureRowIsValid();
   AnswerPendingSyncs();
 }
 
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -53,7 +53,7 @@
   void Answer(const Exchange& exchange, const SyncRequest& request);
   /// @return true if the VM has a worker that is not about to leave.
   bool HasWorker() const;
-  void EnsureRowExists();
+  void EnsureRowIsValid();
   void WriteAgentRow();
   void Tick();
   void ReportCallResult(const char* what, const TaskKey& task, RunNumber run,
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -502,6 +502,24 @@
   CHECK(cluster.memory.rows.contains(at));
 }
 
+// Regression test: a VM whose row another writer had replaced was never found
+// by later planners.
+TEST_CASE("an agent restores its row after it was overwritten") {
+  TestCluster cluster;
+  const StoreKey at{table::kAgents, "shard-0", "new-vm"};
+  Agent agent(cluster.loop, cluster.store, cluster.metrics, {},
+              {VmId("new-vm"), DataCentreId(), kAgent});
+  agent.Start();
+  WorkerHello hello;
+  hello.worker.id = WorkerId("w");
+  agent.HandleWorkerHello(hello);
+  cluster.Advance(Duration(100));
+  const std::string own_row = cluster.memory.rows.at(at).value;
+  cluster.memory.Apply({{}, {{at, "odd"}}, {}});
+  cluster.Advance(Duration(6'000));
+  CHECK(cluster.memory.rows.at(at).value == own_row);
+}
+
 /// Values of rows that name no agent.
 std::vector<std::string> OddRowValues() {
   const nlohmann::json port_out_of_range = {{"address", "10.0.0.8:70000"},
