Follow the worker that answers, whatever its start time

Here: a report with a start time ('born') in the far future made the agent ignore every later report and list of the real worker, for good: all of them had an earlier start time. The VM was never used again until its agent restarted.

Cause: start times alone decided which of two processes is the newer one. They are the reader's only clue for a report that was delayed in the network, but an answer to a call is proof of who is there.

Change: a list that answers a call sent after the announcement outranks it. A report with an earlier start time is ignored only while the announced process has answered a call, and none since was answered by another process (421).

Tests that failed before: agent_test 'a worker is followed again after a report with a wrong start time' (not responsive, no start call), 'a worker that started again at an earlier time of day is followed'. 'a listing from before a restart does not bring the former back' passed before and after.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -351,6 +351,7 @@
   // Unknown until the new worker announces itself.
   table.worker.capacity = {};
   table.clock_known = false;
+  table.worker_confirmed = false;
   table.worker.responsive = false;
   table.worker_failed_at = {};
   table.lease_sent_until = {};
@@ -362,14 +363,19 @@
 
 bool ApplyWorkerHello(RunTable& table, MonotonicTime now,
                       const WorkerHello& hello) {
-  (void)now;
-  if (hello.born_ms != 0 && hello.born_ms < table.worker_born_ms) return false;
+  // An announcement may be late, but a worker that has never answered is no
+  // reason to ignore another one.
+  if (table.worker_confirmed && hello.born_ms != 0 &&
+      hello.born_ms < table.worker_born_ms) {
+    return false;
+  }
   const bool is_new_worker =
       hello.worker.id != table.worker.id ||
       (hello.born_ms != 0 && hello.born_ms != table.worker_born_ms);
   if (is_new_worker) {
     ReplaceWorker(table);
     table.worker_born_ms = hello.born_ms;
+    table.worker_announced_at = now;
   }
   // Without the time of its start, a restarted worker, which counts from the
   // beginning, cannot be told from a late announcement.
@@ -591,11 +597,16 @@
   if (call.call.worker != table.worker.id) return;
   if (listing.born_ms != 0 && table.worker_born_ms != 0 &&
       listing.born_ms != table.worker_born_ms) {
-    if (listing.born_ms < table.worker_born_ms) return;
+    const bool is_former = listing.born_ms < table.worker_born_ms &&
+                           call.sent_at < table.worker_announced_at;
+    if (is_former) return;
+    // The process that answers is the worker, whatever was announced.
     ReplaceWorker(table);
     table.worker_born_ms = listing.born_ms;
+    table.worker_announced_at = now;
     ++table.version;
   }
+  table.worker_confirmed = true;
   table.clock_known = true;
   table.clock_ms = listing.clock_ms;
   table.clock_at = now;
@@ -625,6 +636,8 @@
   if (result.outcome == CallOutcome::kFenced) {
     return HandleFencedCall(table, call.call.fencing);
   }
+  if (result.outcome == CallOutcome::kWrongWorker)
+    table.worker_confirmed = false;
   if (table.worker_failed_at == MonotonicTime{}) table.worker_failed_at = now;
   SetResponsive(table, false);
 }
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -90,6 +90,11 @@
 
   WorkerReport worker;
   int64_t worker_born_ms = 0;
+  /// When the present worker process first announced itself.
+  MonotonicTime worker_announced_at{};
+  /// The present worker process has answered a call, and no other one has
+  /// answered since.
+  bool worker_confirmed = false;
   /// Highest number of an announcement of this worker process.
   uint64_t worker_sequence = 0;
   /// The worker's clock showed at least `clock_ms` at `clock_at` on our clock.
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -248,6 +248,75 @@
   return hello;
 }
 
+constexpr int64_t kFarFutureMs = 4'000'000'000'000;
+
+/// Renews the leases; the worker that answers was started at `born_ms`.
+void Renew(RunTable& table, MonotonicTime now, int64_t born_ms) {
+  const auto renewal = BeginRenewal(table, now);
+  REQUIRE(renewal);
+  ApplyWorkerListing(table, now, *renewal, Listing(5'000, born_ms));
+}
+
+// Regression test: after one report with a start time that is too late, all
+// later reports and lists of the worker were ignored.
+TEST_CASE("a worker is followed again after a report with a wrong start time") {
+  RunTable table = Ready();
+  MonotonicTime now = kNow + Duration(100);
+  SUBCASE("of the same id") {
+    ApplyWorkerHello(table, now, Hello("w", kFarFutureMs));
+    now += Duration(10);
+    Renew(table, now, 100);
+  }
+  SUBCASE("of another id") {
+    ApplyWorkerHello(table, now, Hello("stray", kFarFutureMs));
+    now += Duration(10);
+    HandleRenewalFailure(table, now, *BeginRenewal(table, now),
+                         {CallOutcome::kWrongWorker, "421"});
+  }
+  ApplyWorkerHello(table, now, Hello("w", 100));
+  Renew(table, now, 100);
+  CHECK(table.worker.id == WorkerId("w"));
+  CHECK(table.worker.responsive);
+  CHECK(table.worker.capacity.cpu == MilliCpu(4'000));
+  Order(table, {Start(kTask, 1)});
+  CHECK(BeginStartCalls(table, now).size() == 1);
+}
+
+// Regression test: a worker whose clock had been set back before it started
+// again was ignored for good.
+TEST_CASE("a worker that started again at an earlier time of day is followed") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  const MonotonicTime now = kNow + Duration(100);
+  SUBCASE("under its id") {
+    Renew(table, now, 50);
+    ApplyWorkerHello(table, now, Hello("w", 50));
+  }
+  SUBCASE("under another id") {
+    CHECK_FALSE(ApplyWorkerHello(table, now, Hello("new", 50)));
+    HandleRenewalFailure(table, now, *BeginRenewal(table, now),
+                         {CallOutcome::kWrongWorker, "421"});
+    CHECK(ApplyWorkerHello(table, now, Hello("new", 50)));
+    Renew(table, now, 50);
+  }
+  CHECK(table.runs.empty());
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].end == RunEnd::kWorkerLost);
+  CHECK(table.worker.responsive);
+  CHECK(table.worker.capacity.cpu == MilliCpu(4'000));
+}
+
+TEST_CASE("a listing from before a restart does not bring the former back") {
+  RunTable table = Ready();
+  const auto renewal = BeginRenewal(table, kNow);
+  const MonotonicTime now = kNow + Duration(100);
+  ApplyWorkerHello(table, now, Hello("w", 200));
+  ApplyWorkerListing(table, now, *renewal, Listing(5'000, 100));
+  CHECK(table.worker_born_ms == 200);
+  CHECK_FALSE(table.clock_known);
+}
+
 // Regression test: a heartbeat that was delayed in the network gave a worker
 // the capacity back that it no longer had.
 TEST_CASE("a late heartbeat does not restore an earlier capacity or state") {
