Check the range of numbers from other writers

Here: numbers were clamped or wrapped into valid values. - A heartbeat with a start time or sequence number of 1e300 or 2^64 - 1 made all later heartbeats of the worker look older, so they were ignored. - In a worker's lists, a float out of range is undefined behaviour when converted, and an end numbered 2^64 - 1 hid all later ends. - A configuration of version 2^64 - 1 made all later ones look older. - firstRunMs of 2^64 - 1 wrapped to -1, a due time in 1970, and the job ran at once instead of being rejected. A deadline of 2^63 - 1 ms overflowed the clock.

Cause: NumberField read unsigned numbers as signed ones, clamped floats, and its callers took the result for what had been sent.

A start time, clock reading, run or end number, or version out of range makes its message or entry malformed, so 'it names no executor to use; the others hold' (PROTOCOL.md). A sequence number out of range counts as unknown, as a mistyped one did before.

Two rows were added to 'numbers out of range are rejected instead of being truncated'.

--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -3,6 +3,7 @@
 #include "platform/config_feed.h"
 #include "platform/job_requests.h"
 #include "platform/json_text.h"
+#include "platform/worker_client.h"
 #include "platform/worker_heartbeat.h"
 
 namespace almondtally::platform {
@@ -103,6 +104,69 @@
   }
 }
 
+// Regression test: with a start time or a number that is too large, all later
+// heartbeats of the worker were taken for older ones.
+TEST_CASE("numbers out of range in a heartbeat are not believed") {
+  const auto decode = [](const std::string& extra_fields) {
+    return DecodeWorkerMessage(HeartbeatRequest(HeartbeatBody(extra_fields)),
+                               kWorker, kService);
+  };
+  // The last field of a name counts.
+  for (const char* born :
+       {"1e300", "18446744073709551615", "9223372036854775807",
+        "253402300800000", "-1", "-1e300", R"("1000")", "null", "[1]", "{}"}) {
+    CAPTURE(std::string(born));
+    CHECK_FALSE(decode(R"(,"born":)" + std::string(born)));
+  }
+  for (const char* sequence : {"1e300", "18446744073709551615",
+                               "9223372036854775807", "-1e300", "[4]"}) {
+    CAPTURE(std::string(sequence));
+    const auto message = decode(R"(,"sequence":)" + std::string(sequence));
+    REQUIRE(message);
+    CHECK_FALSE(message->heartbeat.sequence);
+  }
+  for (const char* remaining : {"1e300", "18446744073709551615", "-5"}) {
+    CAPTURE(std::string(remaining));
+    const auto message = decode(R"(,"remainingMs":)" + std::string(remaining));
+    REQUIRE(message);
+    CHECK(message->heartbeat.worker.remaining_ms == 0);
+  }
+}
+
+// Regression test: one odd entry ended the process that printed it, or hid all
+// later ends of the worker.
+TEST_CASE("odd entries in a worker's lists are skipped") {
+  const std::string nested =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  CHECK_FALSE(DecodeListing(R"({"clockMs":5,"running":[)" + nested +
+                            R"(],"ended":[]})"));
+  const auto listing = DecodeListing(
+      R"({"clockMs":5,"born":1000,"running":[
+        ["j.0.0.1",18446744073709551615,"",100],["j.0.0.2",1e300,"",100],
+        ["j.0.0.3",-1,"",100],["j.0.0.4294967296",1,"",100],[[[[1]]]],7,
+        ["j.0.0.4",1,"",1e300,-1e300]],
+        "ended":[[18446744073709551615,"j.0.0.5",1,"done",""],
+        [1e300,"j.0.0.5",1,"done",""],[3,"j.0.0.6",1e300,"done",""],
+        [4,"j.0.0.7",1,"done",""]]})");
+  REQUIRE(listing);
+  REQUIRE(listing->running.size() == 1);
+  CHECK(listing->running[0].task.index == 4);
+  REQUIRE(listing->ended.size() == 1);
+  CHECK(listing->ended[0].number == 4);
+}
+
+TEST_CASE("lists with a clock or start time out of range are unreadable") {
+  CHECK(DecodeListing(R"({"clockMs":5,"running":[],"ended":[]})"));
+  for (const char* fields :
+       {R"("clockMs":1e300)", R"("clockMs":18446744073709551615)",
+        R"("clockMs":-1)", R"("clockMs":"5")", R"("born":1000)",
+        R"("clockMs":5,"born":1e300)", R"("clockMs":5,"born":-1)"}) {
+    CAPTURE(std::string(fields));
+    CHECK_FALSE(DecodeListing("{" + std::string(fields) +
+                              R"(,"running":[],"ended":[]})"));
+  }
+}
+
 sched::QueueConfig Config() {
   const auto config = DecodeConfig(
       R"({"version":7,"routes":[
@@ -125,6 +189,16 @@
   CHECK_FALSE(DecodeConfig("{}"));
 }
 
+// Regression test: after a version that is too large, all later ones seemed to
+// be older.
+TEST_CASE("a configuration whose version is out of range is rejected") {
+  for (const char* version : {"18446744073709551615", "1e300", "-1", "\"7\""}) {
+    CAPTURE(std::string(version));
+    CHECK_FALSE(DecodeConfig(R"({"version":)" + std::string(version) +
+                             R"(,"routes":[]})"));
+  }
+}
+
 std::optional<JobRequest> Decode(HttpRequest request, RequestError& error) {
   request.authority = "h.example:80";
   std::string reason;
@@ -198,6 +272,8 @@
   for (const char* steps : {R"([{"count":4294967297}])", R"([{"count":-1}])",
                             R"([{"count":1e300}])",
                             R"([{"count":1},{"count":1,"after":[4294967296]}])",
+                            R"([{"count":18446744073709551615}])",
+                            R"([{"count":1},{"count":1,"after":[1e300]}])",
                             R"([{"count":1},{"count":1,"after":[-1]}])"}) {
     RequestError error;
     const auto request = Decode({"POST",
@@ -211,6 +287,29 @@
   }
 }
 
+// Regression test: a due time above the range of the type wrapped around to one
+// in the past, and a timeout above it to one that had passed.
+TEST_CASE("times out of range do not wrap around") {
+  RequestError error;
+  const auto request = Decode({"POST",
+                               std::string("/a/") + kJob,
+                               {{"x-deadline-ms", "9223372036854775807"}},
+                               R"({"steps":[{"count":1}],"repeatCount":1,
+                  "firstRunMs":18446744073709551615})"},
+                              error);
+  REQUIRE(request);
+  sched::JobReason why;
+  CHECK_FALSE(sched::ValidateJob(request->call.spec, why));
+  const auto read = Decode({"GET",
+                            std::string("/a/b/") + kJob,
+                            {{"x-deadline-ms", "9223372036854775807"}},
+                            ""},
+                           error);
+  REQUIRE(read);
+  CHECK(read->timeout > Duration(0));
+  CHECK(read->timeout <= Duration(86'400'000));
+}
+
 TEST_CASE("base64 encoding and decoding preserve the bytes") {
   for (const std::string& bytes :
        {std::string(), std::string("a"), std::string("ab"), std::string("abc"),
