Treat a list of ends that was cut at its limit as incomplete

An executor lists at most 500 ends at a time (PROTOCOL.md), so a run that ended 'done' beyond them was in neither list, and its task would have been started again (TWICE).

Cause: a list that is cut at a limit was read as a complete one, by the agent (ResolveUnlistedRuns) and, through its first report, by the planner.

Change: a list with 500 ends, or with a run that cannot be read, is not complete, and resolves no run. A restarted agent reports 'partial' until a list was complete, or until no lease can be left; the planner meanwhile drops no run, sends no start to that VM, and after a takeover keeps waiting for it. Ends are recorded and acknowledged as before, which lets the rest of the list follow.

Interface: a field 'partial' in the reports of agents. Without it, as from older agents, a report counts as not partial.

Tests: agent_test 'an incomplete list of ends resolves no run', 'a restarted agent says whether ends may be missing'; sched_test 'no run counts as missing while ends may be missing', 'a VM is given no starts while ends may be missing', 'a planner that took over waits for ends that may be missing'; adapter_test 'a list with the largest number of ends is not complete'.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -342,6 +342,11 @@
   ++table.version;
 }
 
+/// Records that no run or end of the worker is missing from the table.
+void MarkComplete(RunTable& table) {
+  if (table.complete_version == 0) table.complete_version = ++table.version;
+}
+
 void ReplaceWorker(RunTable& table) {
   EndRunsOfFormerWorker(table);
   for (UnrecordedEnd& end : table.ends) end.worker_number = 0;
@@ -433,7 +438,9 @@
   out.settled = table.settled;
   out.worker = table.worker;
   const bool known = request.life == table.life;
-  out.complete = !known || request.seen_version == 0;
+  out.complete = !known || request.seen_version == 0 ||
+                 request.seen_version < table.complete_version;
+  out.partial = table.complete_version == 0;
   for (const auto& [task, run] : table.runs) {
     if (!out.complete && run.version <= request.seen_version) continue;
     out.runs.push_back({task, run.order.run, run.phase, run.checkpoint,
@@ -622,7 +629,9 @@
     ApplyListedRun(table, now, run);
   }
   for (const WorkerRunEnd& end : listing.ended) ApplyListedEnd(table, end);
+  if (!listing.complete) return;
   ResolveUnlistedRuns(table, call, listed);
+  MarkComplete(table);
 }
 
 void HandleRenewalFailure(RunTable& table, MonotonicTime now,
@@ -645,9 +654,9 @@
 void ExpireLeases(RunTable& table, MonotonicTime now) {
   if (!table.settled && now - table.started_at > kMaxLease) {
     table.settled = true;
-    ++table.version;
+    MarkComplete(table);
   }
-  if (table.runs.empty() || table.worker.responsive) return;
+  if (table.worker.responsive) return;
   if (table.lease_sent_until == MonotonicTime{}) return;
   MonotonicTime sent_until = table.lease_sent_until;
   if (!table.leases_in_flight.empty()) {
@@ -657,6 +666,7 @@
       (sent_until - table.clock_at) * kClockDriftPercent / 100;
   if (now <= sent_until + drift) return;
   EndAllRunsAsLapsed(table);
+  MarkComplete(table);
 }
 
 }  // namespace almondtally::sched
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -87,6 +87,9 @@
   /// this process started, or all leases granted to an earlier agent process
   /// have expired.
   bool settled = false;
+  /// Version at which the worker had listed all its runs and ends at a time, so
+  /// that no end from before this process started is missing; 0 before that.
+  uint64_t complete_version = 0;
 
   WorkerReport worker;
   int64_t worker_born_ms = 0;
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -232,6 +232,9 @@
   bool settled = false;
   /// `runs` lists all runs on the VM, not only the changed ones.
   bool complete = false;
+  /// The worker may have had further runs whose ends it has not listed yet, so
+  /// that a run which is not reported may have ended in any way.
+  bool partial = false;
   WorkerReport worker;
   std::vector<RunReport> runs;
   std::vector<RunEndReport> ends;
@@ -239,7 +242,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SyncReport, message_version,
                                                 epoch, planner_address, life,
                                                 stamp, version, batch, settled,
-                                                complete, worker, runs, ends)
+                                                complete, partial, worker, runs,
+                                                ends)
 
 enum class JobVerb : uint8_t { kSubmit, kRead, kCancel, kCount };
 NLOHMANN_JSON_SERIALIZE_ENUM(JobVerb, {{JobVerb::kSubmit, "submit"},
--- a/source/sched/orders.cc
+++ b/source/sched/orders.cc
@@ -8,8 +8,10 @@
 constexpr int kFencingLifeBits = 12;
 constexpr int kFencingEpochBits = 24;
 
-bool NeedsStart(const VmRun& run) {
-  return !run.seen && run.start_batch == 0 && !run.stop_wanted;
+/// A start is not sent while ends of the VM may be missing: an earlier process
+/// of the agent may have carried it out.
+bool NeedsStart(const VmEntity& vm, const VmRun& run) {
+  return !vm.partial && !run.seen && run.start_batch == 0 && !run.stop_wanted;
 }
 
 bool NeedsStop(const VmRun& run) {
@@ -27,7 +29,7 @@
 bool HasUnsentOrders(const VmEntity& vm) {
   if (!vm.synced || vm.reporting_incarnation != vm.life) return false;
   for (const auto& [key, run] : vm.runs) {
-    if (NeedsStart(run) || NeedsStop(run) || NeedsPace(run)) return true;
+    if (NeedsStart(vm, run) || NeedsStop(run) || NeedsPace(run)) return true;
     if (run.size_requested && run.known) return true;
   }
   return false;
@@ -49,7 +51,7 @@
       run.speed_limit_sent = run.speed_limit_wanted;
       request.paces.push_back({key, run.run, run.speed_limit_wanted});
     }
-    if (!NeedsStart(run)) continue;
+    if (!NeedsStart(vm, run)) continue;
     const TaskEntity* task = FindTask(shard, key);
     const auto job = shard.jobs.find(key.job);
     if (task == nullptr || job == shard.jobs.end()) {
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -93,7 +93,8 @@
 };
 
 bool AcceptsTasks(const VmEntity& vm) {
-  return vm.synced && vm.worker.responsive && !vm.worker.draining;
+  return vm.synced && !vm.partial && vm.worker.responsive &&
+         !vm.worker.draining;
 }
 
 /// @return the services of which most VMs are set aside. Their failures are due
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -251,9 +251,10 @@
 }
 
 /// Removes runs that the agent does not have and whose end it did not report.
-/// In a complete report these are all runs that are not listed, otherwise only
-/// starts that the agent ignored. Batch numbers say nothing about a run that
-/// was reported before, perhaps by an earlier process of the agent.
+/// In a complete report these are all runs that are not listed, otherwise, or
+/// if ends may be missing, only starts that the agent ignored. Batch numbers
+/// say nothing about a run that was reported before, perhaps by an earlier
+/// process of the agent.
 void RemoveMissingRuns(ShardState& shard, MonotonicTime now, VmEntity& vm,
                        const SyncReport& report, Decisions& log) {
   std::set<TaskKey> reported;
@@ -263,7 +264,7 @@
     const bool unsent = run.start_batch == 0;
     const bool start_pending =
         !run.seen && (unsent || run.start_batch > report.batch);
-    const bool unchanged = run.seen && !report.complete;
+    const bool unchanged = run.seen && (!report.complete || report.partial);
     if (reported.contains(it->first) || start_pending || unchanged) {
       ++it;
       continue;
@@ -352,7 +353,8 @@
   UpdateModelsFromReport(shard, now, vm, report);
   vm.seen_version = report.version;
   ReleaseRecordedEnds(shard, vm);
-  vm.awaiting_first_sync = false;
+  vm.partial = report.partial;
+  if (!vm.partial) vm.awaiting_first_sync = false;
   if (vm.synced) return;
   vm.synced = true;
   Decision decision;
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -144,6 +144,8 @@
   /// Registered when this planner took over and not synced since. The VM may
   /// still execute runs that an earlier planner started.
   bool awaiting_first_sync = false;
+  /// The latest report may lack runs that the VM has had; see SyncReport.
+  bool partial = false;
   /// Agent process whose state was last processed.
   AgentIncarnation life;
   /// Agent process that sent the latest report; differs from `life` until it is
--- a/source/sched/waiting.cc
+++ b/source/sched/waiting.cc
@@ -46,7 +46,8 @@
                            std::find(labels.begin(), labels.end(),
                                      step.required_label) != labels.end();
     if (vm.synced && (vm.worker.service != service || !has_label)) continue;
-    if (!vm.synced || !vm.worker.responsive || vm.worker.draining) {
+    if (!vm.synced || vm.partial || !vm.worker.responsive ||
+        vm.worker.draining) {
       ++out.unavailable;
     } else if (!Fits(step.each, vm.worker.capacity - ReservedCapacity(vm))) {
       ++out.without_room;
--- a/source/sched/worker.h
+++ b/source/sched/worker.h
@@ -71,6 +71,9 @@
   int64_t born_ms = 0;
   std::vector<WorkerRun> running;
   std::vector<WorkerRunEnd> ended;
+  /// False if a run that is in neither list may still run or may have ended:
+  /// the worker lists a limited number of ends at a time.
+  bool complete = true;
 };
 
 /// Parameters of every call to a worker: the recipient and the caller's
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -734,5 +734,62 @@
   CHECK(paces[0].percent == 0);
 }
 
+// Regression test: runs whose ends stood beyond the first ones of a list were
+// taken for lost, and their tasks were started again.
+TEST_CASE("an incomplete list of ends resolves no run") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1), Start(kOther, 1)});
+  const auto calls = BeginStartCalls(table, kNow);
+  FinishStartCall(table, kNow, calls[0], {});
+  FinishStartCall(table, kNow, calls[1], {CallOutcome::kUnknown, "timeout"});
+  const MonotonicTime now = kNow + Duration(1'000);
+  WorkerListing listing = Listing();
+  listing.complete = false;
+  ApplyWorkerListing(table, now, *BeginRenewal(table, now), listing);
+  CHECK(table.runs.size() == 2);
+  listing.complete = true;
+  listing.ended = {{1, kTask, RunNumber(1), RunEnd::kDone, ""}};
+  ApplyWorkerListing(table, now, *BeginRenewal(table, now), listing);
+  CHECK(table.runs.empty());
+  REQUIRE(Ends(table).size() == 2);
+  CHECK(Ends(table)[0].end == RunEnd::kDone);
+  CHECK(Ends(table)[1].end == RunEnd::kNotStarted);
+}
+
+// Regression test: such runs were missing from the first report of a restarted
+// agent, which was taken for complete.
+TEST_CASE("a restarted agent says whether ends may be missing") {
+  RunTable table;
+  table.life = AgentIncarnation(8);
+  table.started_at = kNow;
+  ApplyWorkerHello(table, kNow, Hello());
+  ApplySyncRequest(table, kNow, Request(table));
+  WorkerListing listing = Listing();
+  listing.complete = false;
+  listing.running = {{kTask, RunNumber(3), "", 40, -1}};
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), listing);
+  SyncRequest request = Request(table);
+  const SyncReport first = MakeReport(table, kNow, request);
+  CHECK(first.settled);
+  CHECK(first.partial);
+  request.seen_version = first.version;
+  CHECK_FALSE(MakeReport(table, kNow, request).complete);
+  SUBCASE("until the worker lists the last ones") {
+    listing.complete = true;
+    ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), listing);
+  }
+  SUBCASE("until all its leases have expired") {
+    ApplySyncRequest(table, kNow, request);
+    const auto renewal = BeginRenewal(table, kNow);
+    HandleRenewalFailure(table, kNow, *renewal,
+                         {CallOutcome::kUnknown, "timeout"});
+    ExpireLeases(table, kNow + kLeaseGrantDuration * 2);
+  }
+  CHECK(HasUnreportedChanges(table, request));
+  const SyncReport report = MakeReport(table, kNow, request);
+  CHECK(report.complete);
+  CHECK_FALSE(report.partial);
+}
+
 }  // namespace
 }  // namespace almondtally::sched
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -151,10 +151,28 @@
   REQUIRE(listing);
   REQUIRE(listing->running.size() == 1);
   CHECK(listing->running[0].task.index == 4);
+  CHECK_FALSE(listing->complete);
   REQUIRE(listing->ended.size() == 1);
   CHECK(listing->ended[0].number == 4);
 }
 
+TEST_CASE("a list with the largest number of ends is not complete") {
+  const auto is_complete = [](int ends) {
+    std::string rows;
+    for (int i = 1; i <= ends; ++i) {
+      if (i > 1) rows += ',';
+      rows += "[" + std::to_string(i) + R"(,"j.0.0.1",1,"done",""])";
+    }
+    const auto listing =
+        DecodeListing(R"({"clockMs":5,"running":[],"ended":[)" + rows + "]}");
+    REQUIRE(listing);
+    return listing->complete;
+  };
+  CHECK(is_complete(0));
+  CHECK(is_complete(499));
+  CHECK_FALSE(is_complete(500));
+}
+
 TEST_CASE("lists with a clock or start time out of range are unreadable") {
   CHECK(DecodeListing(R"({"clockMs":5,"running":[],"ended":[]})"));
   for (const char* fields :
--- a/tests/sched/reports_test.cc
+++ b/tests/sched/reports_test.cc
@@ -71,6 +71,72 @@
   CHECK(request.starts[0].run == RunNumber(1));
 }
 
+TEST_CASE("no run counts as missing while ends may be missing") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  AcceptJob(shard, "k", {Step(1, 1'000)});
+  Place(shard);
+  ReportAllRunning(shard, vm);
+  REQUIRE(vm.runs.size() == 2);
+  SyncReport report = ReportOfRestartedAgent(vm);
+  report.partial = true;
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  CHECK(vm.runs.size() == 2);
+  // The end of one run is listed later; the other run was lost.
+  SyncReport next = ReportOfRestartedAgent(vm);
+  next.version = vm.seen_version + 1;
+  next.ends.push_back({1, Key("j", 0, 0), RunNumber(1), RunEnd::kDone, "", ""});
+  ApplyReport(shard, kNow, vm, next, log);
+  Place(shard);
+  CHECK(shard.jobs.at(JobId("j")).state == JobState::kCompleted);
+  REQUIRE(vm.runs.size() == 1);
+  CHECK(vm.runs.at(Key("k", 0, 0)).run == RunNumber(2));
+}
+
+TEST_CASE("a VM is given no starts while ends may be missing") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  Place(shard);
+  SyncRequest lost;
+  CollectOrders(shard, vm, lost);
+  REQUIRE(lost.starts.size() == 1);
+  SyncReport report = ReportOfRestartedAgent(vm);
+  report.partial = true;
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  AcceptJob(shard, "k", {Step(1, 1'000)});
+  Place(shard);
+  CHECK(vm.runs.size() == 1);
+  CHECK_FALSE(HasUnsentOrders(vm));
+  // The former agent process had carried the start out.
+  SyncReport next = ReportOfRestartedAgent(vm);
+  next.version = vm.seen_version + 1;
+  next.ends.push_back({1, Key("j", 0, 0), RunNumber(1), RunEnd::kDone, "", ""});
+  ApplyReport(shard, kNow, vm, next, log);
+  CHECK(shard.jobs.at(JobId("j")).state == JobState::kCompleted);
+  Place(shard);
+  CHECK(HasUnsentOrders(vm));
+}
+
+TEST_CASE("a planner that took over waits for ends that may be missing") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = shard.vms[VmId("a")];
+  vm.id = VmId("a");
+  vm.awaiting_first_sync = true;
+  SyncReport report = Report(vm);
+  report.partial = true;
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  CHECK(IsRecovering(shard, kNow));
+  SyncReport next = Report(vm);
+  next.complete = true;
+  ApplyReport(shard, kNow, vm, next, log);
+  CHECK_FALSE(IsRecovering(shard, kNow));
+}
+
 TEST_CASE("a start in a batch that the agent has not received is kept") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a");
