Send the sizes of runs again after a lost batch

A restarted agent that finds runs on its worker asks for their sizes, and refuses each start until it has them. The planner sent them once: if the batch went unanswered, starts, stops and speed limits of it were sent again, but the sizes only with the next change of the run. Until then the VM took no task (class of LOST).

Change: the run remembers the batch of its size, as it does for start and stop.

Test that failed before: sched_test 'sizes of a possibly lost batch are sent again' (no size in the next batch).

--- a/source/sched/orders.cc
+++ b/source/sched/orders.cc
@@ -41,6 +41,7 @@
   for (auto& [key, run] : vm.runs) {
     if (run.size_requested && run.known) {
       run.size_requested = false;
+      run.size_batch = batch;
       request.sizes.push_back({key, run.run, run.size, run.filler});
     }
     if (NeedsStop(run)) {
@@ -70,6 +71,7 @@
   for (auto& [key, run] : vm.runs) {
     if (run.start_batch == batch && !run.seen) run.start_batch = 0;
     if (run.stop_batch == batch) run.stop_batch = 0;
+    if (run.size_batch == batch) run.size_requested = true;
     // Unknown until the agent reports which limit is in force.
     if (run.speed_limit_sent == run.speed_limit_wanted)
       run.speed_limit_sent = -1;
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -121,6 +121,8 @@
   double last_tail_ratio = 0;
   /// The agent asked for the size of this run.
   bool size_requested = false;
+  /// Number of the order batch that contained the size; 0 if none did.
+  uint64_t size_batch = 0;
   int64_t percent = 0;
   int64_t measurement = -1;
   MonotonicTime running_since{};
--- a/tests/sched/reports_test.cc
+++ b/tests/sched/reports_test.cc
@@ -71,6 +71,32 @@
   CHECK(request.starts[0].run == RunNumber(1));
 }
 
+// Regression test: a restarted agent whose batch of sizes was lost refused all
+// starts until the next change of its run.
+TEST_CASE("sizes of a possibly lost batch are sent again") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  Place(shard);
+  ReportAllRunning(shard, vm);
+  SyncReport report = ReportOfRestartedAgent(vm);
+  RunReport found = Running(Key("j", 0, 0), RunNumber(1));
+  found.unsized = true;
+  report.runs.push_back(found);
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  SyncRequest lost;
+  CollectOrders(shard, vm, lost);
+  REQUIRE(lost.sizes.size() == 1);
+  CHECK_FALSE(HasUnsentOrders(vm));
+  MarkOrdersUnsent(vm, lost.batch);
+  SyncRequest next;
+  CollectOrders(shard, vm, next);
+  REQUIRE(next.sizes.size() == 1);
+  MarkOrdersUnsent(vm, lost.batch);
+  CHECK(vm.runs.at(Key("j", 0, 0)).size_batch == next.batch);
+}
+
 TEST_CASE("no run counts as missing while ends may be missing") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a");
