Void start orders with the lease under which they were sent

Cause: a batch that a cut holds up is delivered afterwards. The agent admitted its starts under the lease of the poll that had come first, so nothing tied an order to the lease on which the planner reckons when it gives a VM up. The same for a start call that waited at the agent (fenced, to be sent again), and for the deadline of a call that a worker carries out late.

Change: a start is admitted, sent and carried out under the lease of its own request, 'stamp' + 5 s by the agent's clock. A planner without proof of ownership now sends the stamp with a grant of 0, which older agents take for no grant.

Tests that failed before: agent_test 'an order is void once its own lease has expired', 'an order from a planner without a grant expires like the others', 'a start that waits is not sent under a later lease', 'a start call carries no longer lease than its order'.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -162,25 +162,35 @@
   return sum;
 }
 
+/// @return when the orders of a request expire: with the lease that the planner
+/// could count on when it sent them, not with one that was granted since.
+MonotonicTime OrderExpiry(const SyncRequest& request) {
+  if (request.stamp.value == 0) return MonotonicTime::max();
+  return MonotonicTime(Duration(request.stamp.value)) + kLeaseGrantDuration;
+}
+
 /// @return the reason for refusing the order; empty if it is admitted.
 std::string CheckAdmission(const RunTable& table, MonotonicTime now,
-                           const StartOrder& order,
+                           const StartOrder& order, MonotonicTime lease_until,
                            const WorkerId& target_worker) {
   if (table.worker.id.empty()) return "no worker";
   if (target_worker != table.worker.id) return "another worker";
   if (table.worker.draining) return "draining";
   if (!table.clock_known) return "worker not heard yet";
-  if (table.lease_until - now < kMinLeaseToStart) return "lease too short";
+  if (lease_until - now < kMinLeaseToStart) return "lease too short";
   return CheckRoom(table, TotalAdmissionSize(table), order);
 }
 
 void ApplyStartOrder(RunTable& table, MonotonicTime now,
-                     const StartOrder& order, const WorkerId& target_worker) {
+                     const StartOrder& order, MonotonicTime expires_at,
+                     const WorkerId& target_worker) {
   const auto it = table.runs.find(order.task);
   if (it != table.runs.end() && it->second.order.run >= order.run) return;
-  std::string refusal = it != table.runs.end()
-                            ? "an older run is still here"
-                            : CheckAdmission(table, now, order, target_worker);
+  const MonotonicTime lease_until = std::min(table.lease_until, expires_at);
+  std::string refusal =
+      it != table.runs.end()
+          ? "an older run is still here"
+          : CheckAdmission(table, now, order, lease_until, target_worker);
   if (!refusal.empty()) {
     AddEnd(table, order.task, order.run, RunEnd::kNotStarted, order.checkpoint,
            std::move(refusal));
@@ -188,6 +198,7 @@
   }
   AgentRun run;
   run.order = order;
+  run.order_expires_at = expires_at;
   run.checkpoint = order.checkpoint;
   run.requested_pace = order.pace;
   MarkChanged(table, table.runs[order.task] = std::move(run));
@@ -232,16 +243,17 @@
     it->second.requested_pace = order.percent;
   }
   for (const StartOrder& order : request.starts) {
-    ApplyStartOrder(table, now, order, request.worker);
+    ApplyStartOrder(table, now, order, OrderExpiry(request), request.worker);
   }
 }
 
-WorkerCall MakeCall(const RunTable& table) {
+/// @param lease_until when the lease that the call carries ends.
+WorkerCall MakeCall(const RunTable& table, MonotonicTime lease_until) {
   WorkerCall call;
   call.worker = table.worker.id;
   call.fencing = table.fencing;
   if (!table.clock_known) return call;
-  const int64_t until_lease_end = (table.lease_until - table.clock_at).count();
+  const int64_t until_lease_end = (lease_until - table.clock_at).count();
   call.lease_until_ms = table.clock_ms + until_lease_end;
   return call;
 }
@@ -463,7 +475,9 @@
     if (AwaitsStartCall(run)) {
       // The capacity may have shrunk since the order was admitted.
       const std::string no_room = CheckRoom(table, reserved, run.order);
-      if (table.lease_until - now < kMinLeaseToStart) {
+      const MonotonicTime lease_until =
+          std::min(table.lease_until, run.order_expires_at);
+      if (lease_until - now < kMinLeaseToStart) {
         EndRunLocally(table, it, RunEnd::kNotStarted, "lease too short");
       } else if (!no_room.empty()) {
         EndRunLocally(table, it, RunEnd::kNotStarted, no_room);
@@ -472,11 +486,11 @@
         run.call_in_flight = true;
         run.call_fencing = table.fencing;
         run.start_sent_at = now;
-        out.push_back({MakeCall(table),
+        out.push_back({MakeCall(table, lease_until),
                        {run.order.task, run.order.run, run.order.payload,
                         run.order.checkpoint, run.order.permit},
-                       table.lease_until});
-        table.leases_in_flight.insert(table.lease_until);
+                       lease_until});
+        table.leases_in_flight.insert(lease_until);
       }
     }
     it = next;
@@ -534,7 +548,7 @@
         run.phase != RunPhase::kStarting && now >= run.next_stop_at;
     if (!due) continue;
     run.next_stop_at = now + kCallRetryInterval;
-    out.push_back({MakeCall(table), task, run.order.run});
+    out.push_back({MakeCall(table, table.lease_until), task, run.order.run});
   }
   return out;
 }
@@ -560,7 +574,8 @@
                      run.phase == RunPhase::kRunning && now >= run.next_pace_at;
     if (!due) continue;
     run.next_pace_at = now + kCallRetryInterval;
-    out.push_back({MakeCall(table), task, run.order.run, run.requested_pace});
+    out.push_back({MakeCall(table, table.lease_until), task, run.order.run,
+                   run.requested_pace});
   }
   return out;
 }
@@ -584,7 +599,7 @@
   // The worker would reject a renewal without a planner's fencing number.
   if (table.worker.id.empty() || table.fencing == 0) return std::nullopt;
   RenewCall out;
-  out.call = MakeCall(table);
+  out.call = MakeCall(table, table.lease_until);
   out.recorded = table.worker_end_recorded;
   out.sent_at = now;
   const bool immediately =
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -17,6 +17,9 @@
 /// One run on this VM.
 struct AgentRun {
   StartOrder order;
+  /// No start call is sent, or carried out by the worker, after this time; the
+  /// planner may then have given the order up. Latest time if unknown.
+  MonotonicTime order_expires_at = MonotonicTime::max();
   RunPhase phase = RunPhase::kStarting;
   /// False for a run that the worker listed and whose size no planner has sent
   /// yet.
--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -128,8 +128,8 @@
   request.seen_version = vm.synced ? vm.seen_version : 0;
   request.seen_end = vm.seen_end;
   request.ends_recorded = vm.ends_recorded;
+  request.stamp = vm.stamp;
   if (loop_.now() - ownership_proven_at_ < kOwnershipProofValidity) {
-    request.stamp = vm.stamp;
     request.grant_ms = kLeaseGrantDuration.count();
   }
   return request;
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -88,7 +88,8 @@
   /// Lowest fencing number for calls to the worker.
   uint64_t fencing_base = 0;
   /// Latest `stamp` received from the agent: leases may last until
-  /// `stamp + grant_ms`.
+  /// `stamp + grant_ms`, and the starts in this request are void after
+  /// `stamp + kLeaseGrantDuration`.
   AgentTime stamp;
   int64_t grant_ms = 0;
   /// Number of this batch of orders; 0 if there are none.
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -791,5 +791,80 @@
   CHECK_FALSE(report.partial);
 }
 
+/// Orders that were sent at `sent`, when the planner had last heard of the
+/// agent.
+SyncRequest OrdersSentAt(const RunTable& table, MonotonicTime sent,
+                         std::vector<StartOrder> starts) {
+  SyncRequest out = Request(table, table.batch + 1);
+  out.stamp = AgentTime(sent.time_since_epoch().count());
+  out.starts = std::move(starts);
+  return out;
+}
+
+void GrantLease(RunTable& table, MonotonicTime now) {
+  SyncRequest poll = Request(table);
+  poll.stamp = AgentTime(now.time_since_epoch().count());
+  ApplySyncRequest(table, now, poll);
+}
+
+// Regression test: orders that a cut held up were carried out after the planner
+// had given the VM up and started the tasks elsewhere.
+TEST_CASE("an order is void once its own lease has expired") {
+  RunTable table = Ready();
+  const SyncRequest late =
+      OrdersSentAt(table, kNow, {Start(kTask, 1), Start(kOther, 1)});
+  const MonotonicTime now = kNow + Duration(6'500);
+  GrantLease(table, now);
+  ApplySyncRequest(table, now, late);
+  CHECK(table.runs.empty());
+  CHECK(BeginStartCalls(table, now).empty());
+  REQUIRE(Ends(table).size() == 2);
+  CHECK(Ends(table)[0].end == RunEnd::kNotStarted);
+  CHECK(Ends(table)[0].reason == "lease too short");
+}
+
+TEST_CASE("an order from a planner without a grant expires like the others") {
+  RunTable table = Ready();
+  SyncRequest late = OrdersSentAt(table, kNow, {Start(kTask, 1)});
+  late.grant_ms = 0;
+  SUBCASE("in time") {
+    ApplySyncRequest(table, kNow + Duration(1'000), late);
+    CHECK(BeginStartCalls(table, kNow + Duration(1'000)).size() == 1);
+  }
+  SUBCASE("too late") {
+    const MonotonicTime now = kNow + Duration(6'500);
+    GrantLease(table, now);
+    ApplySyncRequest(table, now, late);
+    CHECK(BeginStartCalls(table, now).empty());
+  }
+}
+
+// A start call that was fenced waits for another attempt.
+TEST_CASE("a start that waits is not sent under a later lease") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  const auto first = BeginStartCalls(table, kNow);
+  REQUIRE(first.size() == 1);
+  FinishStartCall(table, kNow, first[0], {CallOutcome::kFenced, "fence"});
+  const MonotonicTime now = kNow + kLeaseGrantDuration;
+  GrantLease(table, now);
+  CHECK(BeginStartCalls(table, now).empty());
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].end == RunEnd::kNotStarted);
+}
+
+// The worker rejects a start call that it carries out after its deadline.
+TEST_CASE("a start call carries no longer lease than its order") {
+  RunTable table = Ready();
+  const MonotonicTime now = kNow + Duration(1'000);
+  const SyncRequest orders = OrdersSentAt(table, kNow, {Start(kTask, 1)});
+  GrantLease(table, now);
+  ApplySyncRequest(table, now, orders);
+  const auto calls = BeginStartCalls(table, now);
+  REQUIRE(calls.size() == 1);
+  CHECK(calls[0].lease_until == kNow + kLeaseGrantDuration);
+  CHECK(calls[0].call.lease_until_ms == 5'000 + kLeaseGrantDuration.count());
+}
+
 }  // namespace
 }  // namespace almondtally::sched
