Fence speed limits whose call was not answered

An unanswered speed limit may be carried out seconds later (PROTOCOL.md). The agent went on believing the former limit: if the planner returned to it, no call was sent at all, and the late one left the run slowed down or paused for good.

Change: after an unanswered call the limit in force is unknown, so the requested one is sent again, and the fencing number rises, so that the late call is refused.

Test that failed before: agent_test 'an unanswered speed limit cannot take effect after a later one' (no call).

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -14,6 +14,8 @@
 /// Runs with less lease left than this are not started, since they would end
 /// almost immediately.
 constexpr Duration kMinLeaseToStart{500};
+/// Speed limit of a run after an unanswered call.
+constexpr int64_t kUnknownPace = -1;
 /// Delay before an unconfirmed stop or pace call is repeated.
 constexpr Duration kCallRetryInterval{500};
 /// Minimum time between two reports of changed measures of a run.
@@ -586,8 +588,11 @@
   if (result.outcome == CallOutcome::kFenced) {
     HandleFencedCall(table, call.call.fencing);
   }
+  const bool unanswered = result.outcome == CallOutcome::kUnknown;
+  if (unanswered && call.call.fencing >= table.fencing) RaiseFencing(table);
   const auto it = table.runs.find(call.task);
   if (it == table.runs.end() || it->second.order.run != call.run) return;
+  if (unanswered) it->second.pace = kUnknownPace;
   if (result.outcome != CallOutcome::kOk) return;
   it->second.pace = call.percent;
   // A newer speed limit may be sent without waiting for the retry delay.
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -36,6 +36,7 @@
   bool stop_requested = false;
   MonotonicTime next_stop_at{};
   int64_t requested_pace = 100;
+  /// Speed limit in force, in percent of full speed; negative if unknown.
   int64_t pace = 100;
   MonotonicTime next_pace_at{};
   std::string checkpoint;
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -126,7 +126,7 @@
   /// As in WorkerRun.
   int64_t percent = 0;
   int64_t measurement = -1;
-  /// Speed limit in force, in percent of full speed.
+  /// Speed limit in force, in percent of full speed; negative if unknown.
   int64_t pace = 100;
   /// The agent does not know the size of the run.
   bool unsized = false;
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -723,6 +723,29 @@
   CHECK(BeginStopCalls(table, later).size() == 1);
 }
 
+// Regression test: a late call could leave a run at a speed that neither the agent
+// nor the planner knew.
+TEST_CASE("an unanswered speed limit cannot take effect after a later one") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  const auto set_limit = [&](int64_t percent) {
+    SyncRequest request = Request(table, table.batch + 1);
+    request.paces = {{kTask, RunNumber(1), percent}};
+    ApplySyncRequest(table, kNow, request);
+  };
+  set_limit(40);
+  const auto lost = BeginPaceCalls(table, kNow);
+  REQUIRE(lost.size() == 1);
+  FinishPaceCall(table, kNow, lost[0], {CallOutcome::kUnknown, "timeout"});
+  set_limit(100);
+  const MonotonicTime later = kNow + Duration(600);
+  const auto paces = BeginPaceCalls(table, later);
+  REQUIRE(paces.size() == 1);
+  CHECK(paces[0].percent == 100);
+  CHECK(paces[0].call.fencing > lost[0].call.fencing);
+}
+
 TEST_CASE("a speed limit given with a start is applied at once") {
   RunTable table = Ready();
   StartOrder start = Start(kTask, 1);
