Stop a cancelled run whose start may still arrive

A batch that went unanswered is marked as unsent, though a cut may deliver it later. A run of it that was cancelled meanwhile was dropped as one that had never been sent; the agent then carried the start out (UNASKED), and no later batch made it void.

Change: such a run is kept and a stop is sent for it. The batch of the stop makes the earlier one void at the agent, whose report then resolves the run.

Test that failed before: sched_test 'a cancelled start in a possibly lost batch is stopped' (run dropped, no order).

--- a/source/sched/orders.cc
+++ b/source/sched/orders.cc
@@ -16,7 +16,7 @@
 
 bool NeedsStop(const VmRun& run) {
   return run.stop_wanted && run.stop_batch == 0 &&
-         (run.seen || run.start_batch != 0);
+         (run.seen || run.start_batch != 0 || run.maybe_sent);
 }
 
 bool NeedsPace(const VmRun& run) {
@@ -46,6 +46,8 @@
     }
     if (NeedsStop(run)) {
       run.stop_batch = batch;
+      // This batch makes an earlier one with the start void.
+      if (!run.seen && run.start_batch == 0) run.start_batch = batch;
       request.stops.push_back({key, run.run});
     }
     if (NeedsPace(run)) {
@@ -69,7 +71,10 @@
 
 void MarkOrdersUnsent(VmEntity& vm, uint64_t batch) {
   for (auto& [key, run] : vm.runs) {
-    if (run.start_batch == batch && !run.seen) run.start_batch = 0;
+    if (run.start_batch == batch && !run.seen) {
+      run.start_batch = 0;
+      run.maybe_sent = true;
+    }
     if (run.stop_batch == batch) run.stop_batch = 0;
     if (run.size_batch == batch) run.size_requested = true;
     // Unknown until the agent reports which limit is in force.
--- a/source/sched/pace.cc
+++ b/source/sched/pace.cc
@@ -115,7 +115,8 @@
   for (auto& [id, vm] : shard.vms) {
     std::erase_if(vm.runs, [](const auto& it) {
       const VmRun& run = it.second;
-      return run.stop_wanted && !run.seen && run.start_batch == 0;
+      return run.stop_wanted && !run.seen && run.start_batch == 0 &&
+             !run.maybe_sent;
     });
     if (!vm.synced) {
       vm.over_capacity_since = {};
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -330,6 +330,8 @@
     vm.batch_in_flight = false;
     for (auto& [task, run] : vm.runs) {
       if (!run.seen) run.start_batch = 0;
+      // The new process receives no batch of the former one.
+      run.maybe_sent = false;
       run.stop_batch = 0;
     }
   }
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -102,6 +102,8 @@
   bool known = false;
   /// Number of the order batch that contained the start; 0 if not sent yet.
   uint64_t start_batch = 0;
+  /// A batch with the start went unanswered; the agent may receive it late.
+  bool maybe_sent = false;
   /// The agent has reported this run.
   bool seen = false;
   RunPhase phase = RunPhase::kStarting;
--- a/tests/sched/reports_test.cc
+++ b/tests/sched/reports_test.cc
@@ -97,6 +97,39 @@
   CHECK(vm.runs.at(Key("j", 0, 0)).size_batch == next.batch);
 }
 
+// Regression test: a cancelled run whose start may still arrive was forgotten,
+// and the agent carried the start out.
+TEST_CASE("a cancelled start in a possibly lost batch is stopped") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  Place(shard);
+  SyncRequest lost;
+  CollectOrders(shard, vm, lost);
+  MarkOrdersUnsent(vm, lost.batch);
+  CancelJob(shard, kNow, job);
+  Decisions log;
+  StopRunsToMove(shard, kNow, log);
+  REQUIRE(vm.runs.size() == 1);
+  REQUIRE(HasUnsentOrders(vm));
+  SyncRequest request;
+  CollectOrders(shard, vm, request);
+  // A later batch makes the earlier one void.
+  CHECK(request.batch > lost.batch);
+  CHECK(request.starts.empty());
+  REQUIRE(request.stops.size() == 1);
+  SyncReport report = Report(vm);
+  SUBCASE("the agent never received the start") {
+    ApplyReport(shard, kNow, vm, report, log);
+  }
+  SUBCASE("the agent had received the start") {
+    report.ends.push_back(
+        {1, Key("j", 0, 0), RunNumber(1), RunEnd::kNotStarted, "", ""});
+    ApplyReport(shard, kNow, vm, report, log);
+  }
+  CHECK(vm.runs.empty());
+}
+
 TEST_CASE("no run counts as missing while ends may be missing") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a");
