Never report a job of a replaced planner as not run

Cause: a planner that steps down answers the submissions whose commit is unanswered with 'unknown'. An entry that had forwarded one took this for the same 'unknown' that a process sends which does not plan, and went on looking for a planner. If none answered until the deadline, the caller was told 503, which promises that the job never runs, although it was stored.

Change: a process that has not acted on a request says so (field 'no_effect' of its answer). Any other 'unknown' means that the job may be stored, and the caller is told 504. Answers of older processes lack the field and count as such.

Interface: field 'no_effect' in the answers between entries.

Test that failed before: planner_test 'a job of a replaced planner is never reported as not run' (unavailable). 'a job that no planner received is reported as not run' passed before and after.

--- a/source/planner/gateway.cc
+++ b/source/planner/gateway.cc
@@ -96,6 +96,7 @@
           return pending_call->Finish(*answer);
         }
         if (answer) {
+          if (!answer->no_effect) pending_call->may_have_reached_planner = true;
           if (answer->owner_address.empty()) return RetryLater(pending_call);
           planner_.UpdateOwner(answer->owner_epoch, answer->owner_address);
           return RetryLater(pending_call);
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -303,12 +303,14 @@
   /// shard, as far as it knows.
   std::string owner_address;
   PlannerEpoch owner_epoch;
+  /// Set with kUnknown by a process that has not acted on the request.
+  bool no_effect = false;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobAnswer, message_version,
                                                 verdict, state, pending_jobs,
                                                 retry_after_ms, reason,
                                                 store_away, owner_address,
-                                                owner_epoch)
+                                                owner_epoch, no_effect)
 
 /// Asks another entry to take over the shard.
 struct TakeOverCall {
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -220,6 +220,49 @@
   }
 }
 
+// Regression test: a job whose commit was unanswered when its planner was
+// replaced was refused as not run, although it was stored and ran.
+TEST_CASE("a job of a replaced planner is never reported as not run") {
+  TestCluster cluster;
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  REQUIRE(a.planner.planning());
+  Entry b(cluster, "b", kSecond);
+  cluster.Advance(Duration(500));
+  cluster.memory.next_error = PlatformError::kUnknown;
+  Answers answers;
+  b.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
+  cluster.Advance(Duration(100));
+  REQUIRE(cluster.memory.rows.contains({table::kJobs, "shard-0", "j"}));
+  SyncRequest newer;
+  newer.epoch = PlannerEpoch(9);
+  ApplySyncRequest(cluster.agent, cluster.loop.now(), newer);
+  cluster.Advance(Duration(700));
+  REQUIRE_FALSE(a.planner.planning());
+  cluster.Advance(kCallTimeout);
+  REQUIRE(answers.all.size() == 1);
+  CHECK(answers.all[0].verdict == JobVerdict::kUnknown);
+}
+
+TEST_CASE("a job that no planner received is reported as not run") {
+  TestCluster cluster;
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  Entry b(cluster, "b", kSecond);
+  cluster.Advance(Duration(500));
+  cluster.memory.next_error = PlatformError::kRefused;
+  SyncRequest newer;
+  newer.epoch = PlannerEpoch(9);
+  ApplySyncRequest(cluster.agent, cluster.loop.now(), newer);
+  cluster.Advance(Duration(700));
+  REQUIRE_FALSE(a.planner.planning());
+  Answers answers;
+  b.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
+  cluster.Advance(kCallTimeout + Duration(100));
+  REQUIRE(answers.all.size() == 1);
+  CHECK(answers.all[0].verdict == JobVerdict::kUnavailable);
+}
+
 TEST_CASE("another entry takes over from a failed planner") {
   TestCluster cluster;
   auto a = std::make_unique<Entry>(cluster, "a", kFirst);
