--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -723,8 +723,8 @@
   CHECK(BeginStopCalls(table, later).size() == 1);
 }
 
-// Regression test: a late call could leave a run at a speed that neither the agent
-// nor the planner knew.
+// Regression test: a late call could leave a run at a speed that neither the
+// agent nor the planner knew.
 TEST_CASE("an unanswered speed limit cannot take effect after a later one") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
