Use a VM only once a commit has proven that successors know it

What callers may see: tasks that run twice after a change of the planner (TWICE).

Cause: a planner uses a VM as soon as the change feed shows its row. A planner that has been replaced without knowing may hear of a new VM after its successor has read all rows, grant it a lease and start tasks there. The successor waits only for the VMs that it has read, so it may start the same tasks elsewhere before it hears of the new one. Takeovers beside VMs that come (executors replaced one after the other, machines added) open this window for the time that reading the jobs takes.

Change: a row that comes by the feed is unproven until a commit that was sent after it has succeeded. A successor claims after that commit and reads the rows after its claim, so it finds the VM. Until then the VM gets no lease and no task.

Test that failed before: planner_test "a VM is used once a commit has proven that successors know it" (worker_starts 1 instead of 0).

--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -77,6 +77,7 @@
   vm.row_version = row.version;
   if (!is_new) return;
   vm.listed_at = loop_.now();
+  vm.row_unproven = true;
   Log(Event::kVmListed, {{"vm", id.value}, {"agent", agent->address}});
   poll_generations_[id] = ++last_poll_generation_;
   Poll(id);
@@ -129,7 +130,8 @@
   request.seen_end = vm.seen_end;
   request.ends_recorded = vm.ends_recorded;
   request.stamp = vm.stamp;
-  if (loop_.now() - ownership_proven_at_ < kOwnershipProofValidity) {
+  if (!vm.row_unproven &&
+      loop_.now() - ownership_proven_at_ < kOwnershipProofValidity) {
     request.grant_ms = kLeaseGrantDuration.count();
   }
   return request;
--- a/source/planner/commits.cc
+++ b/source/planner/commits.cc
@@ -48,6 +48,11 @@
   return out;
 }
 
+bool HasUnprovenRows(const ShardState& board) {
+  return std::any_of(board.vms.begin(), board.vms.end(),
+                     [](const auto& it) { return it.second.row_unproven; });
+}
+
 }  // namespace
 
 void Planner::CommitPending() {
@@ -64,7 +69,8 @@
                            it->second.state != it->second.recorded;
                   });
   const bool progress_due =
-      !board_.dirty.empty() && since_last_commit >= kProgressBatchDelay;
+      (!board_.dirty.empty() || HasUnprovenRows(board_)) &&
+      since_last_commit >= kProgressBatchDelay;
   if (!urgent && !progress_due && since_last_commit < kHeartbeatInterval)
     return;
 
@@ -145,6 +151,10 @@
   const InFlightCommit commit = std::move(*commit_in_flight_);
   commit_in_flight_.reset();
   const MonotonicTime now = loop_.now();
+  // Any later claim follows this commit, and reads the rows after that.
+  for (auto& [id, vm] : board_.vms) {
+    if (vm.listed_at < ownership_proven_at_) vm.row_unproven = false;
+  }
   for (const auto& [id, state] : commit.states) {
     const auto it = board_.jobs.find(id);
     if (it == board_.jobs.end() || it->second.recorded == state) continue;
--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -219,7 +219,11 @@
   loading_ = false;
   planning_ = true;
   for (const StoreRow& row : agents.rows) ApplyAgentRow(row);
-  for (auto& [id, vm] : board_.vms) vm.awaiting_first_sync = true;
+  for (auto& [id, vm] : board_.vms) {
+    vm.awaiting_first_sync = true;
+    // These rows were read after the claim.
+    vm.row_unproven = false;
+  }
   store_failed_ = false;
   last_commit_at_ = now;
   Log(Event::kPlanningStarted,
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -93,7 +93,7 @@
 };
 
 bool AcceptsTasks(const VmEntity& vm) {
-  return vm.synced && !vm.partial && vm.worker.responsive &&
+  return vm.synced && !vm.partial && !vm.row_unproven && vm.worker.responsive &&
          !vm.worker.draining;
 }
 
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -148,6 +148,9 @@
   /// Registered when this planner took over and not synced since. The VM may
   /// still execute runs that an earlier planner started.
   bool awaiting_first_sync = false;
+  /// A planner that has claimed the shard since may not have read the row of
+  /// this VM. Until that is ruled out, no lease is granted and no task placed.
+  bool row_unproven = false;
   /// The latest report may lack runs that the VM has had; see SyncReport.
   bool partial = false;
   /// Agent process whose state was last processed.
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -530,6 +530,30 @@
   CHECK(cluster.memory.rows.contains(at) == has_run);
 }
 
+// Regression test: a planner that had been replaced without knowing placed
+// tasks on a VM that its successor had not read, and the successor placed them
+// again.
+TEST_CASE("a VM is used once a commit has proven that successors know it") {
+  TestCluster cluster;
+  const StoreKey at{table::kAgents, "shard-0", "vm"};
+  const StoreRow row = cluster.memory.rows.at(at);
+  cluster.memory.rows.erase(at);
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  Answers answers;
+  a.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
+  cluster.Advance(Duration(300));
+  REQUIRE(answers.all.size() == 1);
+  cluster.memory.hold_commits = true;
+  cluster.memory.Apply({{}, {{at, row.value}}, {}});
+  cluster.memory.Feed(table::kAgents, {cluster.memory.rows.at(at)});
+  cluster.Advance(Duration(1'000));
+  CHECK(cluster.worker_starts == 0);
+  cluster.memory.hold_commits = false;
+  cluster.Advance(Duration(300));
+  CHECK(cluster.worker_starts == 1);
+}
+
 TEST_CASE("a VM is listed once it has a worker") {
   TestCluster cluster;
   const StoreKey at{table::kAgents, "shard-0", "new-vm"};
