Remove a VM's row only if its agent has not written it again

What callers may see: a task runs on two VMs after a change of the planner (TWICE).

Cause: the decision to remove the row of a silent VM waits for the next commit, and for as long as the store is slow or away. An agent that restarts meanwhile writes its row again; the planner lists the VM by the feed and uses it, and the removal, which was not conditional, then takes the new row away. The next planner does not find the VM, does not wait for it, and starts its tasks elsewhere while they run. The same by another way: a list of agents that was read before the removal, after a lost history of the feed, brings the VM back without a row.

Change: a removal expects the version of the row that was known when it was decided. Versions only grow, so an unanswered attempt cannot take effect later. Rows up to the removed version do not list a VM.

Tests that failed before: planner_test "a row that its agent has written again is not removed" (refused and unanswered at first; the row was gone), "a row that is being removed does not list its VM again" (1 VM instead of 0). journal_test "a commit that expects a changed row is not taken for a replacement" is new with the outcome.

--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -69,7 +69,12 @@
     Log(Event::kRowUnreadable, {{"row", row.at.key}, {"reason", why.text}});
     return;
   }
+  // An older version may still be read until the removal is committed.
+  const auto removed = removed_rows_.find(id);
+  if (removed != removed_rows_.end() && row.version <= removed->second) return;
+  pending_removals_.erase(id);
   VmEntity& vm = board_.vms[id];
+  if (row.version < vm.row_version) return;
   const bool is_new = vm.id.empty();
   vm.id = id;
   vm.agent = *ParseAddress(agent->address);
@@ -217,6 +222,10 @@
   }
 }
 
+StoreKey Planner::AgentRowKey(const VmId& vm) const {
+  return {table::kAgents, journal_.partition(), vm.value};
+}
+
 void Planner::RemoveSilentVms() {
   const MonotonicTime now = loop_.now();
   for (auto it = board_.vms.begin(); it != board_.vms.end();) {
@@ -229,8 +238,8 @@
     }
     Log(Event::kVmForgotten,
         {{"vm", vm.id.value}, {"silent_ms", (now - last_heard_at).count()}});
-    pending_deletes_.push_back(
-        {table::kAgents, journal_.partition(), vm.id.value});
+    pending_removals_[vm.id] = vm.row_version;
+    removed_rows_[vm.id] = vm.row_version;
     links_.Drop(vm.agent);
     poll_generations_.erase(vm.id);
     it = board_.vms.erase(it);
--- a/source/planner/commits.cc
+++ b/source/planner/commits.cc
@@ -20,9 +20,9 @@
 /// Progress is collected for this long and recorded in one commit. Changes that
 /// a caller waits for are committed at once.
 constexpr Duration kProgressBatchDelay{60};
-/// Maximum rows in one transaction. The store accepts 100, including the head
-/// row.
-constexpr size_t kRowsPerCommit = 90;
+/// Maximum entries of one transaction. The store accepts 100, including two for
+/// the head row.
+constexpr size_t kEntriesPerCommit = 90;
 constexpr size_t kBytesPerCommit = 700'000;
 
 /// @return a summary of the steps, such as "8x3500m,4000MB,2200ms,filler".
@@ -48,6 +48,10 @@
   return out;
 }
 
+size_t CountEntries(const StoreTransaction& rows) {
+  return rows.checks.size() + rows.puts.size() + rows.deletes.size();
+}
+
 bool HasUnprovenRows(const ShardState& board) {
   return std::any_of(board.vms.begin(), board.vms.end(),
                      [](const auto& it) { return it.second.row_unproven; });
@@ -83,8 +87,7 @@
     rows.puts.push_back({{name, journal_.partition(), key}, std::move(value)});
   };
   const auto full = [&] {
-    return rows.puts.size() + rows.deletes.size() >= kRowsPerCommit ||
-           bytes >= kBytesPerCommit;
+    return CountEntries(rows) >= kEntriesPerCommit || bytes >= kBytesPerCommit;
   };
   for (const auto& [id, fns] : pending_submissions_) {
     if (full()) break;
@@ -104,8 +107,18 @@
     commit.states.emplace_back(id, it->second.state);
   }
   for (const auto& [id, state] : commit.states) board_.dirty.erase(id);
-  commit.deletes = std::exchange(pending_deletes_, {});
-  rows.deletes = commit.deletes;
+  while (!pending_deletes_.empty() && !full()) {
+    commit.deletes.push_back(pending_deletes_.front());
+    pending_deletes_.pop_front();
+    rows.deletes.push_back(commit.deletes.back());
+  }
+  while (!pending_removals_.empty() && !full()) {
+    const auto node = pending_removals_.extract(pending_removals_.begin());
+    const StoreKey at = AgentRowKey(node.key());
+    rows.checks.push_back({at, node.mapped()});
+    rows.deletes.push_back(at);
+    commit.removals.emplace(node.key(), node.mapped());
+  }
   commit.rows = std::move(rows);
   commit.sent_at = now;
   last_commit_at_ = now;
@@ -126,6 +139,9 @@
             return HandleCommitSuccess();
           case JournalOutcome::kReplaced:
             return StepDown("replaced: " + why);
+          case JournalOutcome::kRowsChanged:
+            ownership_proven_at_ = sent_at;
+            return RetryWithoutRemovals();
           case JournalOutcome::kNotCommitted:
             if (!commit_in_flight_->outcome_unknown)
               return HandleCommitFailure(why);
@@ -191,14 +207,31 @@
   SchedulePlanning();
 }
 
+void Planner::RetryWithoutRemovals() {
+  InFlightCommit& commit = *commit_in_flight_;
+  const auto& changed = journal_.changed_rows();
+  for (const auto& [vm, version] : commit.removals) {
+    const StoreKey at = AgentRowKey(vm);
+    std::erase(commit.rows.deletes, at);
+    const bool is_changed =
+        std::find(changed.begin(), changed.end(), at) != changed.end();
+    if (!is_changed) pending_removals_.emplace(vm, version);
+  }
+  commit.removals.clear();
+  commit.rows.checks.clear();
+  commit.outcome_unknown = false;
+  SendCommit();
+}
+
 void Planner::HandleCommitFailure(const std::string& why) {
   if (!store_failed_) Log(Event::kStoreLost, {{"reason", why}});
   store_failed_ = true;
   const InFlightCommit commit = std::move(*commit_in_flight_);
   commit_in_flight_.reset();
   for (const auto& [id, state] : commit.states) board_.dirty.insert(id);
-  pending_deletes_.insert(pending_deletes_.end(), commit.deletes.begin(),
+  pending_deletes_.insert(pending_deletes_.begin(), commit.deletes.begin(),
                           commit.deletes.end());
+  pending_removals_.insert(commit.removals.begin(), commit.removals.end());
   std::vector<AnswerFn> fns;
   for (const JobId& id : commit.accepted) {
     auto node = pending_submissions_.extract(id);
--- a/source/planner/journal.cc
+++ b/source/planner/journal.cc
@@ -15,6 +15,20 @@
   return DecodeRow<ShardHead>(value, why);
 }
 
+/// @return the keys of the checks that do not hold for the current rows.
+std::vector<StoreKey> ListChangedRows(const std::vector<StoreCheck>& checks,
+                                      const std::vector<StoreRow>& current) {
+  std::vector<StoreKey> out;
+  for (const StoreCheck& check : checks) {
+    const bool holds =
+        std::any_of(current.begin(), current.end(), [&](const StoreRow& row) {
+          return row.at == check.at && row.version == check.version;
+        });
+    if (!holds) out.push_back(check.at);
+  }
+  return out;
+}
+
 }  // namespace
 
 Journal::Journal(const Store& store, std::string partition)
@@ -62,15 +76,18 @@
 void Journal::Write(const ShardHead& next, StoreTransaction rows,
                     OutcomeFn fn) {
   const StoreKey at{table::kHead, partition_, kHeadKey};
+  const std::vector<StoreCheck> checks = rows.checks;
   rows.checks.push_back({at, version_});
   rows.puts.push_back({at, EncodeRow(next)});
-  store_.commit(
-      rows, [this, next, fn = std::move(fn)](const StoreCommitResult& result) {
-        fn(ResolveOutcome(next, result), result.text);
-      });
+  store_.commit(rows, [this, next, checks, expected_head = version_,
+                       fn = std::move(fn)](const StoreCommitResult& result) {
+    fn(ResolveOutcome(next, expected_head, checks, result), result.text);
+  });
 }
 
 JournalOutcome Journal::ResolveOutcome(const ShardHead& next,
+                                       RowVersion expected_head,
+                                       const std::vector<StoreCheck>& checks,
                                        const StoreCommitResult& result) {
   switch (result.error) {
     case PlatformError::kNone:
@@ -88,6 +105,11 @@
   }
   for (const StoreRow& row : result.current) {
     if (row.at.table != table::kHead) continue;
+    changed_rows_ = ListChangedRows(checks, result.current);
+    // Versions only grow, so that an earlier, unanswered attempt fails as well.
+    if (row.version == expected_head && !changed_rows_.empty()) {
+      return JournalOutcome::kRowsChanged;
+    }
     const auto head = DecodeShardHead(row.value);
     if (!head) return JournalOutcome::kReplaced;
     head_ = head;
--- a/source/planner/journal.h
+++ b/source/planner/journal.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "external/store.h"
 #include "sched/job.h"
@@ -34,6 +35,9 @@
   kMaybeCommitted,
   /// Not committed: another process has claimed the shard.
   kReplaced,
+  /// Certainly not committed, now or later: rows that the transaction expects
+  /// have changed. The process still owns the shard.
+  kRowsChanged,
 };
 
 /// Reads the head row of one shard and commits transactions that are
@@ -48,6 +52,8 @@
   /// @return the head row as last read or written; empty if there is none.
   const std::optional<ShardHead>& head() const { return head_; }
   RowVersion version() const { return version_; }
+  /// @return after kRowsChanged: the rows that were not as expected.
+  const std::vector<StoreKey>& changed_rows() const { return changed_rows_; }
 
   void Read(std::function<void(bool ok)> fn);
   /// Claims the shard if the head row still has the version last read.
@@ -61,13 +67,16 @@
 
  private:
   void Write(const ShardHead& next, StoreTransaction rows, OutcomeFn fn);
-  JournalOutcome ResolveOutcome(const ShardHead& next,
+  /// @param checks what the transaction expected, beside the head row.
+  JournalOutcome ResolveOutcome(const ShardHead& next, RowVersion expected_head,
+                                const std::vector<StoreCheck>& checks,
                                 const StoreCommitResult& result);
 
   const Store& store_;
   std::string partition_;
   std::optional<ShardHead> head_;
   RowVersion version_;
+  std::vector<StoreKey> changed_rows_;
 };
 
 }  // namespace almondtally::sched
--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -245,6 +245,8 @@
   board_ = {};
   poll_generations_.clear();
   pending_deletes_.clear();
+  pending_removals_.clear();
+  removed_rows_.clear();
   // It is not known whether the next planner will find these jobs in the store.
   auto accepting = std::exchange(pending_submissions_, {});
   auto waiters = std::exchange(change_waiters_, {});
--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -112,6 +112,7 @@
   SyncRequest MakeRequest(VmEntity& vm) const;
   void HandleReport(const VmId& id, const SyncReport& report);
   void RemoveSilentVms();
+  StoreKey AgentRowKey(const VmId& vm) const;
 
   // Planning and commits.
   void SchedulePlanning();
@@ -121,6 +122,9 @@
   void SendCommit();
   void HandleCommitSuccess();
   void HandleCommitFailure(const std::string& why);
+  /// Sends the commit in flight again without the removals of VMs' rows, since
+  /// agents have written some of them again.
+  void RetryWithoutRemovals();
   void LogDecisions(const Decisions& log);
   bool StoreIsDown() const;
 
@@ -157,7 +161,15 @@
   /// wait for the outcome.
   std::map<JobId, std::vector<AnswerFn>> pending_submissions_;
   std::vector<ChangeWaiter> change_waiters_;
-  std::vector<StoreKey> pending_deletes_;
+  /// Rows of ended jobs, each job's own row before its progress: a job without
+  /// progress would run again.
+  std::deque<StoreKey> pending_deletes_;
+  /// VMs whose rows are to be removed, with the version that the removal
+  /// expects.
+  std::map<VmId, RowVersion> pending_removals_;
+  /// The latest version of each VM's row that this planner has decided to
+  /// remove.
+  std::map<VmId, RowVersion> removed_rows_;
 
   /// A commit that has been sent and whose outcome is not known yet.
   struct InFlightCommit {
@@ -166,6 +178,7 @@
     uint64_t change = 0;
     bool all_changes = false;
     std::vector<StoreKey> deletes;
+    std::map<VmId, RowVersion> removals;
     StoreTransaction rows;
     MonotonicTime sent_at{};
     /// An earlier attempt may have committed these rows.
--- a/tests/planner/journal_test.cc
+++ b/tests/planner/journal_test.cc
@@ -105,6 +105,32 @@
   CHECK(memory.rows.at({"jobs", "s", "job"}).value == "new");
 }
 
+TEST_CASE(
+    "a commit that expects a changed row is not taken for a replacement") {
+  MemoryStore memory;
+  const Store store = memory.Make();
+  Journal a(store, "s");
+  Claim(a, MakeHead("a", 1));
+  const StoreKey changed{"agents", "s", "changed"};
+  const StoreKey unchanged{"agents", "s", "unchanged"};
+  memory.Apply({{}, {{changed, "1"}, {unchanged, "1"}}, {}});
+  const RowVersion read_at(memory.version);
+  memory.Apply({{}, {{changed, "2"}}, {}});
+  StoreTransaction rows;
+  rows.checks = {{changed, read_at}, {unchanged, read_at}};
+  rows.deletes = {changed, unchanged};
+  JournalOutcome out = JournalOutcome::kMaybeCommitted;
+  a.Commit(rows, [&](JournalOutcome outcome, const auto&) { out = outcome; });
+  CHECK(out == JournalOutcome::kRowsChanged);
+  CHECK(a.changed_rows() == std::vector<StoreKey>{changed});
+  CHECK(memory.rows.contains(changed));
+  CHECK(Commit(a, "job") == JournalOutcome::kCommitted);
+  Journal b(store, "s");
+  CHECK(Claim(b, MakeHead("b", 2)) == JournalOutcome::kCommitted);
+  a.Commit(rows, [&](JournalOutcome outcome, const auto&) { out = outcome; });
+  CHECK(out == JournalOutcome::kReplaced);
+}
+
 TEST_CASE("a refused commit is reported as not committed") {
   MemoryStore memory;
   const Store store = memory.Make();
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -554,6 +554,60 @@
   CHECK(cluster.worker_starts == 1);
 }
 
+// Regression test: a row that a restarted agent had written again was removed
+// by an earlier decision. The next planner did not find the VM and started its
+// tasks a second time.
+TEST_CASE("a row that its agent has written again is not removed") {
+  TestCluster cluster;
+  Entry a(cluster, "a", kFirst);
+  const StoreKey at{table::kAgents, "shard-0", "vm"};
+  cluster.Advance(Duration(13'000));
+  cluster.agent_reachable = false;
+  PlatformError fault = PlatformError::kNone;
+  SUBCASE("the removal is refused at first") {
+    fault = PlatformError::kRefused;
+  }
+  SUBCASE("the removal is unanswered at first") {
+    cluster.memory.hold_commits = true;
+  }
+  cluster.memory.next_error = fault;
+  cluster.Advance(Duration(9'000));
+  REQUIRE(cluster.memory.rows.contains(at));
+  cluster.agent_reachable = true;
+  cluster.StartAgent(4);
+  cluster.memory.Apply({{}, {{at, cluster.memory.rows.at(at).value}}, {}});
+  cluster.memory.Feed(table::kAgents, {cluster.memory.rows.at(at)});
+  cluster.Advance(Duration(100));
+  cluster.memory.hold_commits = false;
+  cluster.memory.next_error = PlatformError::kNone;
+  cluster.Advance(Duration(1'000));
+  CHECK(cluster.memory.rows.contains(at));
+  Answers answers;
+  a.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
+  cluster.Advance(Duration(300));
+  REQUIRE(answers.all.size() == 1);
+  CHECK(answers.all[0].verdict == JobVerdict::kOk);
+  CHECK(cluster.worker_starts == 1);
+}
+
+// Regression test: a list of agents that was read before the removal of a row
+// brought the VM back, without a row that the next planner could find.
+TEST_CASE("a row that is being removed does not list its VM again") {
+  TestCluster cluster;
+  Entry a(cluster, "a", kFirst);
+  const StoreKey at{table::kAgents, "shard-0", "vm"};
+  cluster.Advance(Duration(13'000));
+  const StoreRow row = cluster.memory.rows.at(at);
+  cluster.agent_reachable = false;
+  cluster.Advance(Duration(9'000));
+  REQUIRE_FALSE(cluster.memory.rows.contains(at));
+  cluster.agent_reachable = true;
+  cluster.memory.Feed(table::kAgents, {row});
+  cluster.Advance(Duration(100));
+  a.planner.UpdateMetrics();
+  CHECK(cluster.metrics.Text().find("{name=\"vms\"} 0") != std::string::npos);
+}
+
 TEST_CASE("a VM is listed once it has a worker") {
   TestCluster cluster;
   const StoreKey at{table::kAgents, "shard-0", "new-vm"};
