Wait less for silent VMs once earlier planners have stopped

Cause: a new planner starts stored tasks only when each listed VM has reported or no lease of an earlier planner can be left: 6 s in which that one may still grant, and 5.35 s for the last lease, counted from each takeover anew. VMs that are gone stay listed for seconds, so one of them is enough, and the 6 s were waited for even if the earlier planner had released the shard or its process was gone.

Change: the head row lists the earlier owners that may still grant leases. A planner asks them; one that answers that it does not plan (or a new process at its address) grants nothing more, and is taken off the list. With an empty list only the 5.35 s are left. An owner that does not answer stays on the list for the next planner, which waits the full time for it. An owner that released the shard is never listed. A head row of an older build has no list, which counts as an unknown owner: full time.

Why it works: leases and orders are bounded by the stamp under which they were sent, so none outlives the last moment of granting by more than 5.35 s.

Tests that failed before: planner_test "a planner waits less once its predecessors have stopped" (released; killed and restarted), "a planner waits for each predecessor that may still grant leases" (restarted). planner_test "the next planner does not wait for a VM whose leases have expired" had no earlier planner, so there was nothing to wait for; it now has one that is silent, with the same checks. Log event 9010 planning.earlier_owner_stopped; the head row's field earlier_owners.

--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -248,6 +248,8 @@
        "a commit succeeded again"},
       {Event::kRowUnreadable, "store.row_unreadable", kPlanning, kError,
        "a row of the store cannot be decoded and is skipped"},
+      {Event::kEarlierOwnerStopped, "planning.earlier_owner_stopped", kPlanning,
+       kInfo, "an earlier planner of the shard grants no more leases"},
       {Event::kJobCancelled, "job.cancelled", kPlanning, kInfo,
        "a caller cancelled a job"},
       {Event::kJobEnded, "job.ended", kPlanning, kInfo,
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -77,6 +77,7 @@
   kStoreLost = 9007,
   kStoreRegained = 9008,
   kRowUnreadable = 9009,
+  kEarlierOwnerStopped = 9010,
   kJobCancelled = 9101,
   kJobEnded = 9102,
   kJobRefused = 9103,
--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -31,15 +31,11 @@
 constexpr Duration kLostVmTimeout{8'000};
 /// The same for a VM whose worker has left and that has no runs.
 constexpr Duration kLeftVmTimeout{1'000};
-/// All leases from earlier planners have expired this long after a takeover.
-constexpr Duration kEarlierLeases =
-    kOwnershipProofValidity + kLeaseGrantDuration +
-    kLeaseGrantDuration * 3 / 100 + kLeaseExpiryMargin;
 
-bool HasNoLease(const VmEntity& vm, MonotonicTime took_over_at,
+bool HasNoLease(const ShardState& board, const VmEntity& vm,
                 MonotonicTime now) {
   return vm.lease_ends_at != MonotonicTime{} && now >= vm.lease_ends_at &&
-         now - took_over_at >= kEarlierLeases;
+         now >= EndOfEarlierLeases(board);
 }
 
 /// @return true if no task can be on the VM: its agent follows this planner,
@@ -50,11 +46,11 @@
 }
 
 /// @return how long the VM may be silent before it is no longer listed.
-Duration SilenceAllowed(const VmEntity& vm, MonotonicTime took_over_at,
+Duration SilenceAllowed(const ShardState& board, const VmEntity& vm,
                         MonotonicTime now) {
   if (HasLeft(vm)) return kLeftVmTimeout;
   if (vm.synced) return Duration::max();
-  return HasNoLease(vm, took_over_at, now) ? kLostVmTimeout : kSilentVmTimeout;
+  return HasNoLease(board, vm, now) ? kLostVmTimeout : kSilentVmTimeout;
 }
 
 }  // namespace
@@ -232,7 +228,7 @@
     VmEntity& vm = it->second;
     const MonotonicTime last_heard_at =
         std::max(vm.last_report_at, vm.listed_at);
-    if (now - last_heard_at < SilenceAllowed(vm, board_.took_over_at, now)) {
+    if (now - last_heard_at < SilenceAllowed(board_, vm, now)) {
       ++it;
       continue;
     }
--- a/source/planner/journal.cc
+++ b/source/planner/journal.cc
@@ -65,6 +65,10 @@
   Write(next, std::move(rows), std::move(fn));
 }
 
+void Journal::RemoveEarlierOwner(const std::string& address) {
+  std::erase(head_->earlier_owners, address);
+}
+
 void Journal::Release(OutcomeFn fn) {
   ShardHead next = *head_;
   ++next.sequence;
--- a/source/planner/journal.h
+++ b/source/planner/journal.h
@@ -10,6 +10,9 @@
 
 namespace almondtally::sched {
 
+/// Stands for an owner whose address is not known.
+inline constexpr const char* kUnknownOwner = "unknown";
+
 /// The row that names the owner of a shard. Every commit of the owner rewrites
 /// it on condition that its version is unchanged. A commit of a replaced owner
 /// therefore fails, even if it reaches the store late, and commits of one owner
@@ -23,9 +26,13 @@
   uint64_t sequence = 0;
   /// Processor time of the owner, or of the last one; 0 if not known.
   MilliCpu cpu;
+  /// Addresses of earlier owners that may still grant leases. A build without
+  /// this field writes none, so that its own predecessors are not known.
+  std::vector<std::string> earlier_owners{kUnknownOwner};
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ShardHead, planner, address,
-                                                epoch, sequence, cpu)
+                                                epoch, sequence, cpu,
+                                                earlier_owners)
 
 enum class JournalOutcome : uint8_t {
   kCommitted,
@@ -62,6 +69,8 @@
   /// Commits rows together with a new head row. After kMaybeCommitted the same
   /// rows must be sent again before any others.
   void Commit(StoreTransaction rows, OutcomeFn fn);
+  /// The next commit no longer lists this earlier owner.
+  void RemoveEarlierOwner(const std::string& address);
   /// Commits a head row without an owner.
   void Release(OutcomeFn fn);
 
--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -20,11 +20,27 @@
 constexpr Duration kTakeOverRequestInterval{100};
 /// Delay between attempts to read all rows after a takeover.
 constexpr Duration kLoadRetryDelay{100};
+constexpr Duration kEarlierOwnerTimeout{500};
+constexpr Duration kEarlierOwnerRetryDelay{100};
+constexpr size_t kMaxEarlierOwners = 16;
 
 bool IsVacant(const std::optional<ShardHead>& head) {
   return !head || head->planner.empty();
 }
 
+/// @return the owners up to `head` that may still grant leases after the next
+/// claim. An owner that has released the shard had stopped planning before.
+std::vector<std::string> ListEarlierOwners(
+    const std::optional<ShardHead>& head) {
+  if (!head) return {};
+  std::vector<std::string> out = head->earlier_owners;
+  if (IsVacant(head)) return out;
+  std::erase(out, head->address);
+  out.push_back(head->address);
+  if (out.size() > kMaxEarlierOwners) return {kUnknownOwner};
+  return out;
+}
+
 }  // namespace
 
 void Planner::WatchHead() {
@@ -140,6 +156,7 @@
   new_head.address = ToString(settings_.peer);
   new_head.cpu = settings_.cpu;
   const auto& head = journal_.head();
+  new_head.earlier_owners = ListEarlierOwners(head);
   new_head.epoch = PlannerEpoch(head ? head->epoch.value + 1 : 1);
   const std::string from = head ? head->planner : "";
   const MonotonicTime sent_at = loop_.now();
@@ -232,6 +249,50 @@
        {"vms", static_cast<int64_t>(board_.vms.size())},
        {"row_version", static_cast<int64_t>(agents.version.value)}});
   WatchAgentRows(agents.version, board_.epoch.value);
+  AskEarlierOwners();
+  SchedulePlanning();
+}
+
+void Planner::AskEarlierOwners() {
+  const std::vector<std::string> owners = journal_.head()->earlier_owners;
+  if (owners.empty()) board_.earlier_planners_stopped_at = loop_.now();
+  for (const std::string& owner : owners) {
+    // No other process can have this process's address.
+    if (owner == ToString(settings_.peer)) {
+      HandleEarlierOwnerStopped(owner);
+    } else {
+      AskEarlierOwner(owner, board_.epoch.value);
+    }
+  }
+}
+
+void Planner::AskEarlierOwner(const std::string& owner, uint64_t epoch) {
+  if (!planning_ || board_.epoch.value != epoch) return;
+  if (loop_.now() >= EndOfEarlierLeases(board_)) return;
+  const auto address = ParseAddress(owner);
+  if (!address) return;
+  JobCall call;
+  call.verb = JobVerb::kCount;
+  links_.Send<JobAnswer>(
+      *address, path::kJobCall, call, kEarlierOwnerTimeout,
+      [this, owner, epoch, to = *address](std::optional<JobAnswer> answer,
+                                          const WireReason& why) {
+        if (!planning_ || board_.epoch.value != epoch) return;
+        if (answer && answer->no_effect) {
+          return HandleEarlierOwnerStopped(owner);
+        }
+        if (why.code == WireError::kTimeout) links_.Drop(to);
+        loop_.RunAfter(kEarlierOwnerRetryDelay,
+                       [this, owner, epoch] { AskEarlierOwner(owner, epoch); });
+      });
+}
+
+void Planner::HandleEarlierOwnerStopped(const std::string& owner) {
+  Log(Event::kEarlierOwnerStopped,
+      {{"owner", owner}, {"epoch", static_cast<int64_t>(board_.epoch.value)}});
+  journal_.RemoveEarlierOwner(owner);
+  if (!journal_.head()->earlier_owners.empty()) return;
+  board_.earlier_planners_stopped_at = loop_.now();
   SchedulePlanning();
 }
 
--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -90,6 +90,12 @@
   void UpdateOwnerFromHead();
   void TakeOver();
   void LoadRows();
+  /// Asks the earlier owners whether they have stopped planning. The leases
+  /// that they have granted then end sooner than those of an owner that is
+  /// silent.
+  void AskEarlierOwners();
+  void AskEarlierOwner(const std::string& owner, uint64_t epoch);
+  void HandleEarlierOwnerStopped(const std::string& owner);
   void BeginPlanning(const std::vector<StoreRow>& jobs,
                      const std::vector<StoreRow>& progress,
                      const StoreRows& agents);
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -17,6 +17,10 @@
 /// Extra time after a lease ends before its runs are assumed to have stopped:
 /// the worker's clock may be 2% slow, and timers fire late.
 inline constexpr Duration kLeaseExpiryMargin{200};
+/// Time after which a lease has surely expired: a worker's clock may be up to
+/// 2% slow, rounded up.
+inline constexpr Duration kMaxLeaseDuration =
+    kLeaseGrantDuration + kLeaseGrantDuration * 3 / 100 + kLeaseExpiryMargin;
 
 namespace path {
 /// Planner to agent: sends orders, returns a report.
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -337,8 +337,7 @@
   }
   if (report.stamp > vm.stamp || !vm.synced) {
     vm.stamp = report.stamp;
-    vm.lease_ends_at = now + kLeaseGrantDuration +
-                       kLeaseGrantDuration * 3 / 100 + kLeaseExpiryMargin;
+    vm.lease_ends_at = now + kMaxLeaseDuration;
   }
   if (report.version < vm.seen_version) return;
   if (!vm.synced && !report.complete) return;
@@ -391,13 +390,18 @@
   }
 }
 
-bool IsRecovering(const ShardState& shard, MonotonicTime now) {
+MonotonicTime EndOfEarlierLeases(const ShardState& shard) {
   // A planner that was replaced may still grant leases until its last confirmed
   // ownership is too old.
-  const MonotonicTime leases_expired_at =
-      shard.took_over_at + kOwnershipProofValidity + kLeaseGrantDuration +
-      kLeaseGrantDuration * 3 / 100 + kLeaseExpiryMargin;
-  if (now >= leases_expired_at) return false;
+  MonotonicTime last_grant = shard.took_over_at + kOwnershipProofValidity;
+  if (shard.earlier_planners_stopped_at != MonotonicTime{}) {
+    last_grant = std::min(last_grant, shard.earlier_planners_stopped_at);
+  }
+  return last_grant + kMaxLeaseDuration;
+}
+
+bool IsRecovering(const ShardState& shard, MonotonicTime now) {
+  if (now >= EndOfEarlierLeases(shard)) return false;
   return std::any_of(shard.vms.begin(), shard.vms.end(), [](const auto& it) {
     return it.second.awaiting_first_sync;
   });
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -204,6 +204,9 @@
 struct ShardState {
   PlannerEpoch epoch;
   MonotonicTime took_over_at{};
+  /// When it was known that no earlier planner grants leases any more; zero
+  /// until then.
+  MonotonicTime earlier_planners_stopped_at{};
   std::map<JobId, JobEntity> jobs;
   /// Jobs that have not ended, a small part of `jobs`: ended ones are kept for
   /// minutes.
@@ -307,6 +310,9 @@
 /// @return true while runs of an earlier planner may still execute without
 /// having been reported to this one.
 bool IsRecovering(const ShardState& shard, MonotonicTime now);
+
+/// @return when all leases granted by earlier planners have surely expired.
+MonotonicTime EndOfEarlierLeases(const ShardState& shard);
 /// Records that the store has written all changes up to `change`.
 void MarkChangesRecorded(ShardState& shard, uint64_t change);
 
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <set>
+
 #include "agent/agent.h"
 #include "agent/run_table.h"
 #include "planner/gateway.h"
@@ -21,6 +24,8 @@
   Metrics metrics;
   RunTable agent;
   bool agent_reachable = true;
+  /// Addresses from which no agent answers.
+  std::set<Address> unreachable_agents;
   Duration message_delay{5};
   std::map<Address, Planner*> planners;
 
@@ -91,7 +96,10 @@
                                       const PeerLinks::BytesCallback& fn) {
       loop.RunAfter(message_delay, [this, &alive, to, path, bytes, fn] {
         if (!alive) return;
-        if (std::string(path) == path::kSync) return Sync(bytes, fn);
+        if (std::string(path) == path::kSync) {
+          if (!unreachable_agents.contains(to)) return Sync(bytes, fn);
+          return fn(std::nullopt, {WireError::kTimeout, "no link"});
+        }
         const auto it = planners.find(to);
         WireReason why;
         const auto call = DecodeMessage<JobCall>(bytes, why);
@@ -122,22 +130,45 @@
   }
 };
 
+/// @return a store that a process uses only while it is alive.
+Store StoreOfProcess(const Store& store, const bool& alive) {
+  Store out = store;
+  out.commit = [&store, &alive](const StoreTransaction& tx, const auto& fn) {
+    if (alive) store.commit(tx, fn);
+  };
+  out.read = [&store, &alive](const std::string& table,
+                              const std::string& partition,
+                              const std::string& from, const auto& fn) {
+    if (alive) store.read(table, partition, from, fn);
+  };
+  return out;
+}
+
 struct Entry {
   PeerLinks links;
   bool alive = true;
+  Store store;
   Planner planner;
   Gateway gateway;
 
   Entry(TestCluster& cluster, const std::string& name, const Address& at,
         MilliCpu cpu = MilliCpu(0), Duration take_over_delay = Duration(0))
       : links(cluster.loop),
-        planner(cluster.loop, links, cluster.store, cluster.metrics,
+        store(StoreOfProcess(cluster.store, alive)),
+        planner(cluster.loop, links, store, cluster.metrics,
                 {EntryId(name), at, take_over_delay, cpu, Duration(120'000)}),
         gateway(cluster.loop, links, planner) {
     cluster.Connect(links, alive);
     cluster.planners[at] = &planner;
     planner.Start();
   }
+
+  /// Ends the process. The object has to outlive its timers.
+  void Kill(TestCluster& cluster) {
+    alive = false;
+    std::erase_if(cluster.planners,
+                  [&](const auto& it) { return it.second == &planner; });
+  }
 };
 
 JobCall Submit(const std::string& id) {
@@ -384,6 +415,84 @@
 }
 
 // Readers used to wait for a second read that showed the same row.
+// Regression test: after each change of the planner, tasks of stored jobs
+// waited 11.35 s for VMs that were gone. Lasting tasks were away for 23 s.
+TEST_CASE("a planner waits less once its predecessors have stopped") {
+  TestCluster cluster;
+  const StoreKey gone{table::kAgents, "shard-0", "gone-vm"};
+  cluster.memory.Apply(
+      {{}, {{gone, EncodeRow(AgentRow{"10.0.0.8:7000", {}})}}, {}});
+  cluster.unreachable_agents = {Address{"10.0.0.8", 7000}, kAgent};
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  Entry b(cluster, "b", kSecond);
+  Answers answers;
+  b.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
+  cluster.Advance(Duration(500));
+  REQUIRE(answers.all.size() == 1);
+  Duration shortest{0};
+  Duration longest{0};
+  std::unique_ptr<Entry> replacement;
+  SUBCASE("released") {
+    a.planner.ReleaseShard();
+    shortest = kMaxLeaseDuration;
+    longest = kMaxLeaseDuration + Duration(1'500);
+  }
+  SUBCASE("killed and restarted") {
+    a.Kill(cluster);
+    replacement = std::make_unique<Entry>(cluster, "a", kFirst, MilliCpu(0),
+                                          Duration(20'000));
+    shortest = kMaxLeaseDuration;
+    longest = kMaxLeaseDuration + Duration(2'500);
+  }
+  SUBCASE("silent") {
+    a.Kill(cluster);
+    shortest = kOwnershipProofValidity + kMaxLeaseDuration;
+    longest = kOwnershipProofValidity + kMaxLeaseDuration + Duration(2'500);
+  }
+  cluster.unreachable_agents.erase(kAgent);
+  cluster.Advance(shortest);
+  CHECK(cluster.worker_starts == 0);
+  cluster.Advance(longest - shortest);
+  CHECK(b.planner.planning());
+  CHECK(cluster.worker_starts == 1);
+}
+
+// An owner that has not answered is passed on to the next planner.
+TEST_CASE("a planner waits for each predecessor that may still grant leases") {
+  TestCluster cluster;
+  const StoreKey gone{table::kAgents, "shard-0", "gone-vm"};
+  cluster.memory.Apply(
+      {{}, {{gone, EncodeRow(AgentRow{"10.0.0.8:7000", {}})}}, {}});
+  cluster.unreachable_agents = {Address{"10.0.0.8", 7000}, kAgent};
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  Entry b(cluster, "b", kSecond);
+  Answers answers;
+  b.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
+  cluster.Advance(Duration(500));
+  REQUIRE(answers.all.size() == 1);
+  a.Kill(cluster);
+  cluster.Advance(Duration(2'500));
+  REQUIRE(b.planner.planning());
+  Entry c(cluster, "c", kThird);
+  b.planner.ReleaseShard();
+  cluster.Advance(Duration(500));
+  REQUIRE(c.planner.planning());
+  cluster.unreachable_agents.erase(kAgent);
+  SUBCASE("the first one stays silent") {
+    cluster.Advance(kMaxLeaseDuration + Duration(1'500));
+    CHECK(cluster.worker_starts == 0);
+    cluster.Advance(kOwnershipProofValidity);
+    CHECK(cluster.worker_starts == 1);
+  }
+  SUBCASE("the first one is restarted") {
+    Entry replacement(cluster, "a", kFirst, MilliCpu(0), Duration(20'000));
+    cluster.Advance(kMaxLeaseDuration + Duration(1'500));
+    CHECK(cluster.worker_starts == 1);
+  }
+}
+
 TEST_CASE("a released shard is claimed within one read of the head row") {
   TestCluster cluster;
   Entry a(cluster, "a", kFirst);
@@ -487,16 +596,23 @@
 // After a takeover, lasting tasks waited 11 s for a VM that was gone for good.
 TEST_CASE("the next planner does not wait for a VM whose leases have expired") {
   TestCluster cluster;
+  ShardHead silent_owner;
+  silent_owner.planner = "silent";
+  silent_owner.address = ToString(kThird);
+  silent_owner.epoch = PlannerEpoch(1);
+  cluster.memory.Apply(
+      {{}, {{{table::kHead, "shard-0", "head"}, EncodeRow(silent_owner)}}, {}});
   Entry a(cluster, "a", kFirst);
   const StoreKey at{table::kAgents, "shard-0", "vm"};
   SUBCASE("lost after all leases of earlier planners") {
-    cluster.Advance(Duration(13'000));
+    cluster.Advance(Duration(15'000));
     cluster.agent_reachable = false;
     cluster.Advance(Duration(9'000));
     CHECK_FALSE(cluster.memory.rows.contains(at));
   }
   SUBCASE("lost while an earlier planner may still grant leases") {
-    cluster.Advance(Duration(1'000));
+    cluster.Advance(Duration(2'500));
+    REQUIRE(a.planner.planning());
     cluster.agent_reachable = false;
     cluster.Advance(Duration(9'000));
     CHECK(cluster.memory.rows.contains(at));
