Do not take an owner that is reading its rows for one that has stopped

What callers may see: a task that runs twice (TWICE).

Cause: the answer said that the process does not plan, not that it will not. Change: an answer has the field 'stopped', which is set only by a process that neither plans nor has claimed the shard. Older builds do not set it and count as silent.

Test: planner_test "an owner that has yet to begin planning does not say it has stopped"; fails with the former condition.

--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -278,7 +278,7 @@
       [this, owner, epoch, to = *address](std::optional<JobAnswer> answer,
                                           const WireReason& why) {
         if (!planning_ || board_.epoch.value != epoch) return;
-        if (answer && answer->no_effect) {
+        if (answer && answer->stopped) {
           return HandleEarlierOwnerStopped(owner);
         }
         if (why.code == WireError::kTimeout) links_.Drop(to);
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -70,6 +70,7 @@
   if (!planning_) {
     JobAnswer answer = MakeAnswer(JobVerdict::kUnknown, "not planning");
     answer.no_effect = true;
+    answer.stopped = !loading_;
     if (owner_) {
       answer.owner_epoch = owner_->epoch;
       answer.owner_address = ToString(owner_->address);
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -309,12 +309,15 @@
   PlannerEpoch owner_epoch;
   /// Set with kUnknown by a process that has not acted on the request.
   bool no_effect = false;
+  /// The process neither plans the shard nor has claimed it, and grants no
+  /// leases.
+  bool stopped = false;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobAnswer, message_version,
                                                 verdict, state, pending_jobs,
                                                 retry_after_ms, reason,
                                                 store_away, owner_address,
-                                                owner_epoch, no_effect)
+                                                owner_epoch, no_effect, stopped)
 
 /// Asks another entry to take over the shard.
 struct TakeOverCall {
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -130,16 +130,19 @@
   }
 };
 
-/// @return a store that a process uses only while it is alive.
-Store StoreOfProcess(const Store& store, const bool& alive) {
+/// @return a store that a process uses only while it is alive, and that answers
+/// no read of jobs while `jobs_readable` is false.
+Store StoreOfProcess(const Store& store, const bool& alive,
+                     const bool& jobs_readable) {
   Store out = store;
   out.commit = [&store, &alive](const StoreTransaction& tx, const auto& fn) {
     if (alive) store.commit(tx, fn);
   };
-  out.read = [&store, &alive](const std::string& table,
-                              const std::string& partition,
-                              const std::string& from, const auto& fn) {
-    if (alive) store.read(table, partition, from, fn);
+  out.read = [&store, &alive, &jobs_readable](
+                 const std::string& table, const std::string& partition,
+                 const std::string& from, const auto& fn) {
+    if (!alive || (!jobs_readable && table == table::kJobs)) return;
+    store.read(table, partition, from, fn);
   };
   return out;
 }
@@ -147,6 +150,7 @@
 struct Entry {
   PeerLinks links;
   bool alive = true;
+  bool jobs_readable = true;
   Store store;
   Planner planner;
   Gateway gateway;
@@ -154,7 +158,7 @@
   Entry(TestCluster& cluster, const std::string& name, const Address& at,
         MilliCpu cpu = MilliCpu(0), Duration take_over_delay = Duration(0))
       : links(cluster.loop),
-        store(StoreOfProcess(cluster.store, alive)),
+        store(StoreOfProcess(cluster.store, alive, jobs_readable)),
         planner(cluster.loop, links, store, cluster.metrics,
                 {EntryId(name), at, take_over_delay, cpu, Duration(120'000)}),
         gateway(cluster.loop, links, planner) {
@@ -493,6 +497,27 @@
   }
 }
 
+// An owner that is still reading its rows will plan, and may grant leases.
+TEST_CASE(
+    "an owner that has yet to begin planning does not say it has stopped") {
+  TestCluster cluster;
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  Entry b(cluster, "b", kSecond);
+  b.jobs_readable = false;
+  a.planner.ReleaseShard();
+  cluster.Advance(Duration(1'000));
+  REQUIRE_FALSE(b.planner.planning());
+  JobCall count;
+  count.verb = JobVerb::kCount;
+  Answers answers;
+  a.planner.Handle(count, answers.Fn());
+  b.planner.Handle(count, answers.Fn());
+  REQUIRE(answers.all.size() == 2);
+  CHECK(answers.all[0].stopped);
+  CHECK_FALSE(answers.all[1].stopped);
+}
+
 TEST_CASE("a released shard is claimed within one read of the head row") {
   TestCluster cluster;
   Entry a(cluster, "a", kFirst);
