Stop listing an earlier owner once it cannot grant leases

What callers may see: after an entry is gone for good, or after an upgrade from a build without the list, every later planner waits the full 11.35 s for VMs that are gone (LOST), as before the list. Found on reading again.

Causes: an owner that did not answer was never taken off the list, though nobody who owned the shard before a claim can prove it 6 s later; and the answer to a commit in flight brought an owner back that had been removed meanwhile, so that the list did not become empty.

Tests: planner_test "an owner that can no longer grant leases is not passed on" (2 listed instead of 0 before); journal_test "an earlier owner that is removed during a commit stays removed", written with the change and not run before it.

--- a/source/planner/journal.cc
+++ b/source/planner/journal.cc
@@ -56,22 +56,25 @@
 }
 
 void Journal::Claim(const ShardHead& new_head, OutcomeFn fn) {
+  earlier_owners_ = new_head.earlier_owners;
   Write(new_head, {}, std::move(fn));
 }
 
 void Journal::Commit(StoreTransaction rows, OutcomeFn fn) {
   ShardHead next = *head_;
   ++next.sequence;
+  next.earlier_owners = earlier_owners_;
   Write(next, std::move(rows), std::move(fn));
 }
 
 void Journal::RemoveEarlierOwner(const std::string& address) {
-  std::erase(head_->earlier_owners, address);
+  std::erase(earlier_owners_, address);
 }
 
 void Journal::Release(OutcomeFn fn) {
   ShardHead next = *head_;
   ++next.sequence;
+  next.earlier_owners = earlier_owners_;
   next.planner.clear();
   next.address.clear();
   Write(next, {}, std::move(fn));
--- a/source/planner/journal.h
+++ b/source/planner/journal.h
@@ -69,7 +69,10 @@
   /// Commits rows together with a new head row. After kMaybeCommitted the same
   /// rows must be sent again before any others.
   void Commit(StoreTransaction rows, OutcomeFn fn);
-  /// The next commit no longer lists this earlier owner.
+  /// @return the earlier owners that the next commit lists.
+  const std::vector<std::string>& earlier_owners() const {
+    return earlier_owners_;
+  }
   void RemoveEarlierOwner(const std::string& address);
   /// Commits a head row without an owner.
   void Release(OutcomeFn fn);
@@ -86,6 +89,8 @@
   std::optional<ShardHead> head_;
   RowVersion version_;
   std::vector<StoreKey> changed_rows_;
+  /// Kept apart from `head_`, which a commit in flight replaces.
+  std::vector<std::string> earlier_owners_;
 };
 
 }  // namespace almondtally::sched
--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -254,7 +255,7 @@
 }
 
 void Planner::AskEarlierOwners() {
-  const std::vector<std::string> owners = journal_.head()->earlier_owners;
+  const std::vector<std::string> owners = journal_.earlier_owners();
   if (owners.empty()) board_.earlier_planners_stopped_at = loop_.now();
   for (const std::string& owner : owners) {
     // No other process can have this process's address.
@@ -264,11 +265,18 @@
       AskEarlierOwner(owner, board_.epoch.value);
     }
   }
+  // Nobody who owned the shard before this claim can prove it any longer.
+  loop_.RunAfter(kOwnershipProofValidity, [this, epoch = board_.epoch.value] {
+    if (!planning_ || board_.epoch.value != epoch) return;
+    const std::vector<std::string> silent = journal_.earlier_owners();
+    for (const std::string& owner : silent) HandleEarlierOwnerStopped(owner);
+  });
 }
 
 void Planner::AskEarlierOwner(const std::string& owner, uint64_t epoch) {
   if (!planning_ || board_.epoch.value != epoch) return;
-  if (loop_.now() >= EndOfEarlierLeases(board_)) return;
+  const auto& owners = journal_.earlier_owners();
+  if (std::find(owners.begin(), owners.end(), owner) == owners.end()) return;
   const auto address = ParseAddress(owner);
   if (!address) return;
   JobCall call;
@@ -288,10 +296,12 @@
 }
 
 void Planner::HandleEarlierOwnerStopped(const std::string& owner) {
+  const auto& owners = journal_.earlier_owners();
+  if (std::find(owners.begin(), owners.end(), owner) == owners.end()) return;
   Log(Event::kEarlierOwnerStopped,
       {{"owner", owner}, {"epoch", static_cast<int64_t>(board_.epoch.value)}});
   journal_.RemoveEarlierOwner(owner);
-  if (!journal_.head()->earlier_owners.empty()) return;
+  if (!journal_.earlier_owners().empty()) return;
   board_.earlier_planners_stopped_at = loop_.now();
   SchedulePlanning();
 }
--- a/tests/planner/journal_test.cc
+++ b/tests/planner/journal_test.cc
@@ -131,6 +131,29 @@
   CHECK(out == JournalOutcome::kReplaced);
 }
 
+// Regression test: the answer to a commit brought an owner back that had been
+// removed meanwhile.
+TEST_CASE("an earlier owner that is removed during a commit stays removed") {
+  MemoryStore memory;
+  Store store = memory.Make();
+  Journal a(store, "s");
+  ShardHead head = MakeHead("a", 1);
+  head.earlier_owners = {"10.0.0.1:7000"};
+  CHECK(Claim(a, head) == JournalOutcome::kCommitted);
+  const Store answering = store;
+  std::function<void()> answer;
+  store.commit = [&](const StoreTransaction& tx, const auto& fn) {
+    answer = [&answering, tx, fn] { answering.commit(tx, fn); };
+  };
+  a.Commit({}, [](JournalOutcome, const std::string&) {});
+  a.RemoveEarlierOwner("10.0.0.1:7000");
+  answer();
+  CHECK(a.earlier_owners().empty());
+  a.Commit({}, [](JournalOutcome, const std::string&) {});
+  answer();
+  CHECK(a.head()->earlier_owners.empty());
+}
+
 TEST_CASE("a refused commit is reported as not committed") {
   MemoryStore memory;
   const Store store = memory.Make();
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -497,6 +497,29 @@
   }
 }
 
+// An owner that does not come back must not delay all later planners.
+TEST_CASE("an owner that can no longer grant leases is not passed on") {
+  TestCluster cluster;
+  const StoreKey head{table::kHead, "shard-0", "head"};
+  ShardHead silent_owner;
+  silent_owner.planner = "silent";
+  silent_owner.address = ToString(kThird);
+  silent_owner.epoch = PlannerEpoch(1);
+  cluster.memory.Apply({{}, {{head, EncodeRow(silent_owner)}}, {}});
+  Entry a(cluster, "a", kFirst);
+  const auto list_earlier_owners = [&] {
+    JobReason why;
+    return DecodeRow<ShardHead>(cluster.memory.rows.at(head).value, why)
+        ->earlier_owners.size();
+  };
+  cluster.Advance(Duration(2'500));
+  REQUIRE(a.planner.planning());
+  // The silent owner, and those that it does not list.
+  CHECK(list_earlier_owners() == 2);
+  cluster.Advance(kOwnershipProofValidity);
+  CHECK(list_earlier_owners() == 0);
+}
+
 // An owner that is still reading its rows will plan, and may grant leases.
 TEST_CASE(
     "an owner that has yet to begin planning does not say it has stopped") {
