Commit under the claim of this process, whatever a late read says

A read in flight (a take-over request of a caller and the regular read overlap when the store is slow) may be answered after this process has claimed the shard and another one has claimed it in turn. It made the owner take its successor's head row, name, epoch and version for its own. Its next commit succeeded under that name. The successor's commit then failed, but the row showed its own name, epoch and sequence number, which it takes for an earlier attempt of its own: it reported rows as stored that were not. Ends were acknowledged to workers and forgotten, so the next planner started the tasks again; accepted jobs could be lost in the same way (LOST).

A commit of a replaced owner fails again, as its version is that of its own commit. An answer to a commit of an earlier claim does not replace a later claim.

--- a/source/planner/journal.cc
+++ b/source/planner/journal.cc
@@ -57,14 +57,14 @@
 
 void Journal::Claim(const ShardHead& new_head, OutcomeFn fn) {
   earlier_owners_ = new_head.earlier_owners;
-  Write(new_head, {}, std::move(fn));
+  Write(new_head, version_, {}, std::move(fn));
 }
 
 void Journal::Commit(StoreTransaction rows, OutcomeFn fn) {
-  ShardHead next = *head_;
+  ShardHead next = own_head_;
   ++next.sequence;
   next.earlier_owners = earlier_owners_;
-  Write(next, std::move(rows), std::move(fn));
+  Write(next, own_version_, std::move(rows), std::move(fn));
 }
 
 void Journal::RemoveEarlierOwner(const std::string& address) {
@@ -72,21 +72,31 @@
 }
 
 void Journal::Release(OutcomeFn fn) {
-  ShardHead next = *head_;
+  ShardHead next = own_head_;
   ++next.sequence;
   next.earlier_owners = earlier_owners_;
   next.planner.clear();
   next.address.clear();
-  Write(next, {}, std::move(fn));
+  Write(next, own_version_, {}, std::move(fn));
 }
 
-void Journal::Write(const ShardHead& next, StoreTransaction rows,
-                    OutcomeFn fn) {
+void Journal::SetOwnHead(const ShardHead& head, RowVersion version) {
+  // The answer to a commit of an earlier claim may come after a later claim.
+  if (version < own_version_) return;
+  own_head_ = head;
+  own_version_ = version;
+  if (version < version_) return;
+  head_ = head;
+  version_ = version;
+}
+
+void Journal::Write(const ShardHead& next, RowVersion expected_head,
+                    StoreTransaction rows, OutcomeFn fn) {
   const StoreKey at{table::kHead, partition_, kHeadKey};
   const std::vector<StoreCheck> checks = rows.checks;
-  rows.checks.push_back({at, version_});
+  rows.checks.push_back({at, expected_head});
   rows.puts.push_back({at, EncodeRow(next)});
-  store_.commit(rows, [this, next, checks, expected_head = version_,
+  store_.commit(rows, [this, next, checks, expected_head,
                        fn = std::move(fn)](const StoreCommitResult& result) {
     fn(ResolveOutcome(next, expected_head, checks, result), result.text);
   });
@@ -98,8 +108,7 @@
                                        const StoreCommitResult& result) {
   switch (result.error) {
     case PlatformError::kNone:
-      head_ = next;
-      version_ = result.version;
+      SetOwnHead(next, result.version);
       return JournalOutcome::kCommitted;
     case PlatformError::kConflict:
       break;
@@ -119,13 +128,17 @@
     }
     const auto head = DecodeShardHead(row.value);
     if (!head) return JournalOutcome::kReplaced;
-    head_ = head;
-    version_ = row.version;
     const bool is_own_commit = head->epoch == next.epoch &&
                                head->planner == next.planner &&
                                head->sequence == next.sequence;
     // An earlier, unanswered attempt committed the same rows.
-    if (is_own_commit) return JournalOutcome::kCommitted;
+    if (is_own_commit) {
+      SetOwnHead(*head, row.version);
+      return JournalOutcome::kCommitted;
+    }
+    if (row.version < version_) continue;
+    head_ = head;
+    version_ = row.version;
   }
   return JournalOutcome::kReplaced;
 }
--- a/source/planner/journal.h
+++ b/source/planner/journal.h
@@ -59,6 +59,9 @@
   /// @return the head row as last read or written; empty if there is none.
   const std::optional<ShardHead>& head() const { return head_; }
   RowVersion version() const { return version_; }
+  /// @return the head row of this process's last claim or commit. Unlike
+  /// head(), no read changes it.
+  const ShardHead& own_head() const { return own_head_; }
   /// @return after kRowsChanged: the rows that were not as expected.
   const std::vector<StoreKey>& changed_rows() const { return changed_rows_; }
 
@@ -66,7 +69,8 @@
   /// Claims the shard if the head row still has the version last read.
   /// `new_head` must carry the next epoch.
   void Claim(const ShardHead& new_head, OutcomeFn fn);
-  /// Commits rows together with a new head row. After kMaybeCommitted the same
+  /// Commits rows together with a new head row, if this process still owns the
+  /// shard under its last claim. After kMaybeCommitted the same
   /// rows must be sent again before any others.
   void Commit(StoreTransaction rows, OutcomeFn fn);
   /// @return the earlier owners that the next commit lists.
@@ -78,7 +82,9 @@
   void Release(OutcomeFn fn);
 
  private:
-  void Write(const ShardHead& next, StoreTransaction rows, OutcomeFn fn);
+  void Write(const ShardHead& next, RowVersion expected_head,
+             StoreTransaction rows, OutcomeFn fn);
+  void SetOwnHead(const ShardHead& head, RowVersion version);
   /// @param checks what the transaction expected, beside the head row.
   JournalOutcome ResolveOutcome(const ShardHead& next, RowVersion expected_head,
                                 const std::vector<StoreCheck>& checks,
@@ -88,8 +94,10 @@
   std::string partition_;
   std::optional<ShardHead> head_;
   RowVersion version_;
+  ShardHead own_head_;
+  RowVersion own_version_;
   std::vector<StoreKey> changed_rows_;
-  /// Kept apart from `head_`, which a commit in flight replaces.
+  /// Kept apart from `own_head_`, which a commit in flight replaces.
   std::vector<std::string> earlier_owners_;
 };
 
--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -171,7 +171,7 @@
     ownership_proven_at_ = sent_at;
     UpdateOwnerFromHead();
     Log(Event::kShardClaimed,
-        {{"epoch", static_cast<int64_t>(journal_.head()->epoch.value)},
+        {{"epoch", static_cast<int64_t>(journal_.own_head().epoch.value)},
          {"from", from}});
     LoadRows();
   });
@@ -209,7 +209,7 @@
                             const StoreRows& agents) {
   const MonotonicTime now = loop_.now();
   board_ = {};
-  board_.epoch = journal_.head()->epoch;
+  board_.epoch = journal_.own_head().epoch;
   board_.took_over_at = now;
   board_.queues = queues_;
   board_.tail_limit = settings_.tail_limit;
--- a/tests/planner/journal_test.cc
+++ b/tests/planner/journal_test.cc
@@ -131,6 +131,35 @@
   CHECK(out == JournalOutcome::kReplaced);
 }
 
+// Regression test: a read that was answered after a claim brought the head row
+// of a successor into the owner's commits. Both owned the shard under one
+// epoch, and took each other's commits for their own: rows reported as stored
+// were lost.
+TEST_CASE(
+    "a late read does not make an owner commit under its successor's name") {
+  MemoryStore memory;
+  const Store store = memory.Make();
+  Store late_reads = store;
+  std::function<void()> answer;
+  late_reads.read = [&](const std::string& table, const std::string& partition,
+                        const std::string& from, const auto& fn) {
+    answer = [&store, table, partition, from, fn] {
+      store.read(table, partition, from, fn);
+    };
+  };
+  Journal a(late_reads, "s");
+  a.Read([](bool) {});
+  a.Claim(MakeHead("a", 1), [](JournalOutcome outcome, const std::string&) {
+    CHECK(outcome == JournalOutcome::kCommitted);
+  });
+  Journal b(store, "s");
+  CHECK(Claim(b, MakeHead("b", 2)) == JournalOutcome::kCommitted);
+  answer();
+  CHECK(Commit(a, "of-a") == JournalOutcome::kReplaced);
+  CHECK(Commit(b, "of-b") == JournalOutcome::kCommitted);
+  CHECK(memory.rows.contains({"jobs", "s", "of-b"}));
+}
+
 // Regression test: the answer to a commit brought an owner back that had been
 // removed meanwhile.
 TEST_CASE("an earlier owner that is removed during a commit stays removed") {
