--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -418,22 +418,34 @@
   }
 }
 
-// Readers used to wait for a second read that showed the same row.
+/// Lists a VM that is gone. The agent cannot be reached either for the time
+/// being.
+void ListLostVm(TestCluster& cluster) {
+  const Address gone{"10.0.0.8", 7000};
+  cluster.memory.Apply({{},
+                        {{{table::kAgents, "shard-0", "gone-vm"},
+                          EncodeRow(AgentRow{ToString(gone), {}})}},
+                        {}});
+  cluster.unreachable_agents = {gone, kAgent};
+}
+
+/// Stores a job that no VM can run yet.
+void StoreJob(TestCluster& cluster, Entry& entry) {
+  Answers answers;
+  entry.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
+  cluster.Advance(Duration(500));
+  REQUIRE(answers.all.size() == 1);
+}
+
 // Regression test: after each change of the planner, tasks of stored jobs
 // waited 11.35 s for VMs that were gone. Lasting tasks were away for 23 s.
 TEST_CASE("a planner waits less once its predecessors have stopped") {
   TestCluster cluster;
-  const StoreKey gone{table::kAgents, "shard-0", "gone-vm"};
-  cluster.memory.Apply(
-      {{}, {{gone, EncodeRow(AgentRow{"10.0.0.8:7000", {}})}}, {}});
-  cluster.unreachable_agents = {Address{"10.0.0.8", 7000}, kAgent};
+  ListLostVm(cluster);
   Entry a(cluster, "a", kFirst);
   cluster.Advance(Duration(1'000));
   Entry b(cluster, "b", kSecond);
-  Answers answers;
-  b.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
-  cluster.Advance(Duration(500));
-  REQUIRE(answers.all.size() == 1);
+  StoreJob(cluster, b);
   Duration shortest{0};
   Duration longest{0};
   std::unique_ptr<Entry> replacement;
@@ -465,17 +477,11 @@
 // An owner that has not answered is passed on to the next planner.
 TEST_CASE("a planner waits for each predecessor that may still grant leases") {
   TestCluster cluster;
-  const StoreKey gone{table::kAgents, "shard-0", "gone-vm"};
-  cluster.memory.Apply(
-      {{}, {{gone, EncodeRow(AgentRow{"10.0.0.8:7000", {}})}}, {}});
-  cluster.unreachable_agents = {Address{"10.0.0.8", 7000}, kAgent};
+  ListLostVm(cluster);
   Entry a(cluster, "a", kFirst);
   cluster.Advance(Duration(1'000));
   Entry b(cluster, "b", kSecond);
-  Answers answers;
-  b.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
-  cluster.Advance(Duration(500));
-  REQUIRE(answers.all.size() == 1);
+  StoreJob(cluster, b);
   a.Kill(cluster);
   cluster.Advance(Duration(2'500));
   REQUIRE(b.planner.planning());
@@ -541,6 +547,7 @@
   CHECK_FALSE(answers.all[1].stopped);
 }
 
+// Readers used to wait for a second read that showed the same row.
 TEST_CASE("a released shard is claimed within one read of the head row") {
   TestCluster cluster;
   Entry a(cluster, "a", kFirst);
