Soak: the platform's programs as real processes, judged by its rules

tests/soak runs `almondtally schedule` and `almondtally-target agent` on loopback at the size of the two deployments (3 entries, 11 agents, the loads of the sheets) against stand-ins of store, executors, clients and operator that build on review/harness.py. Faults are drawn from a seed, in storms with calm between: programs killed, stopped, frozen or with a blocked log, one after the other or at once; executors that crash, leave, are replaced, are cut off, leave start calls unanswered and carry them out late; a store that is away for all or some, slow, loses answers, applies them late or forgets its history.

Not covered: links between entries and agents (no proxy), checkpoints, gangs, scheduled jobs.

--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,283 @@
+"""Faults of a soak run, drawn from a seed."""
+
+import asyncio
+import contextlib
+
+from fleet import expected
+from harness import now_ms
+
+STORM_S = (7, 13)
+CALM_S = (9, 12)
+FAULTS = (6, 14)
+
+
+@contextlib.contextmanager
+def impaired(fleet, *scopes):
+    calm = fleet.history.calm
+    for it in scopes:
+        calm.begin(it)
+    try:
+        yield
+    finally:
+        for it in scopes:
+            calm.end(it, now_ms())
+
+
+async def kill(fleet, rng, program):
+    with impaired(fleet, program.name), expected(program):
+        program.kill()
+        await asyncio.sleep(rng.uniform(0.5, 3))
+        program.spawn()
+
+
+async def term(fleet, rng, program):
+    scope = program.name
+    if program in fleet.entries:
+        scope += ".planned"
+    with impaired(fleet, scope), expected(program):
+        await program.terminate()
+        await asyncio.sleep(rng.uniform(0.2, 1.5))
+        program.spawn()
+
+
+async def freeze(fleet, rng, program):
+    with impaired(fleet, program.name):
+        program.freeze()
+        await asyncio.sleep(rng.uniform(1, 4))
+        program.thaw()
+
+
+async def block_log(fleet, rng, program):
+    with impaired(fleet, program.name):
+        program.block_log()
+        await asyncio.sleep(rng.uniform(1.5, 5))
+        program.unblock_log()
+
+
+PROGRAM_FAULTS = (kill, term, freeze, block_log)
+
+
+async def on_program(fleet, rng, fault, program):
+    """One fault at a time on a program."""
+    if getattr(program, "faulty", False) or program.name in fleet.gone:
+        return
+    program.faulty = True
+    fleet.record.add("fault", kind=fault.__name__, on=program.name)
+    try:
+        await fault(fleet, rng, program)
+    finally:
+        program.faulty = False
+        fleet.record.add("fault.end", kind=fault.__name__, on=program.name)
+
+
+async def one_program(fleet, rng):
+    await on_program(fleet, rng, rng.choice(PROGRAM_FAULTS),
+                     rng.choice(fleet.programs()))
+
+
+async def planner(fleet, rng):
+    await on_program(fleet, rng, rng.choice(PROGRAM_FAULTS), fleet.planner())
+
+
+async def series(fleet, rng):
+    """The same fault on many programs, one after the other."""
+    group = rng.choice([fleet.entries, list(fleet.agents.values())])
+    group = rng.sample(group, rng.randint(len(group) // 2, len(group)))
+    if fleet.planner() in group:
+        group.sort(key=lambda it: it is not fleet.planner())
+    fault = rng.choice(PROGRAM_FAULTS)
+    gap_s = rng.choice([0, 0.5, 1.3, 2.5])
+    running = []
+    for it in group:
+        running.append(asyncio.ensure_future(
+            on_program(fleet, rng, fault, it)))
+        await asyncio.sleep(gap_s)
+    await asyncio.gather(*running)
+
+
+async def crash(fleet, rng):
+    """Executors crash and come back, under the same id or a new one."""
+    count = rng.choice([1, 1, 2, 3])
+    await asyncio.gather(*(fleet.crash(it, rng.uniform(2, 4))
+                           for it in rng.sample(fleet.executors, count)))
+
+
+async def crash_later(fleet, rng):
+    """Executors crash a while after a burst of starts, as an outage does."""
+    executor = rng.choice(fleet.executors)
+    await fleet.crash(executor, rng.uniform(0.5, 4))
+    await asyncio.sleep(rng.uniform(0.5, 2))
+    await fleet.crash(executor, rng.uniform(0.5, 4))
+
+
+async def replace(fleet, rng):
+    """A side machine is gone for good; another comes."""
+    executor = rng.choice(fleet.executors)
+    program = fleet.agents[executor.name]
+    if executor.retired or not executor.up or (
+            getattr(program, "faulty", False)):
+        return
+    executor.retired = True
+    fleet.gone.add(program.name)
+    fleet.record.add("fault", kind="replace", on=executor.name)
+    with impaired(fleet, executor.name):
+        program.expected_end = True
+        program.kill()
+        await executor.crash()
+        fleet.vm_count += 1
+        spare = await fleet.add_machine(fleet.vm_count)
+        # add_machine makes the program known before it runs.
+        agent = fleet.agents[spare.name]
+        agent.expected_end = True
+        await asyncio.sleep(rng.uniform(1, 3))
+        agent.spawn()
+        agent.expected_end = False
+        await spare.start()
+    fleet.executors.remove(executor)
+    del fleet.agents[program.name]
+
+
+async def power(fleet, rng):
+    """A side machine loses power: agent and executor are gone, then back."""
+    executor = rng.choice(fleet.executors)
+    program = fleet.agents[executor.name]
+    if executor.retired or not executor.up or (
+            getattr(program, "faulty", False)):
+        return
+    await asyncio.gather(on_program(fleet, rng, kill, program),
+                         fleet.crash(executor, 3, True))
+
+
+async def leave(fleet, rng):
+    """An executor drains and leaves; an empty one comes later."""
+    executor = rng.choice(fleet.executors)
+    if executor.retired or not executor.up or executor.draining:
+        return
+    with impaired(fleet, executor.name):
+        await executor.leave()
+        executor.id = f"i-{executor.name}-{executor.life}"
+        await asyncio.sleep(rng.uniform(0.5, 3))
+        if not executor.up and not executor.retired:
+            await executor.start()
+
+
+async def slow(fleet, rng):
+    chosen = rng.sample(fleet.executors, 2)
+    with impaired(fleet, *(it.name for it in chosen)):
+        for it in chosen:
+            it.slowness = rng.uniform(3, 7)
+        await asyncio.sleep(rng.uniform(3, 6))
+        for it in chosen:
+            it.slowness = 1
+
+
+async def unanswered(fleet, rng):
+    """Start and stop calls get no answer; some are carried out late."""
+    chosen = rng.sample(fleet.executors, rng.choice([1, 3, 5, 11]))
+    how = rng.choice(["late", "lost", "mixed", "mixed"])
+    share = rng.choice([0.05, 0.3, 0.8])
+    with impaired(fleet, *(it.name for it in chosen)):
+        for it in chosen:
+            it.unanswered, it.unanswered_share = how, share
+        await asyncio.sleep(rng.uniform(2, 6))
+        for it in chosen:
+            it.unanswered = None
+
+
+async def cut(fleet, rng):
+    """Executors can't be reached and run on."""
+    chosen = rng.sample(fleet.executors, rng.choice([1, 2, 3]))
+    with impaired(fleet, *(it.name for it in chosen)):
+        for it in chosen:
+            it.cut = True
+        await asyncio.sleep(rng.uniform(1.5, 11))
+        for it in chosen:
+            it.cut = False
+
+
+async def grey(fleet, rng):
+    """More tasks fail."""
+    with impaired(fleet, "grey"):
+        fleet.fail_share = rng.choice([0.1, 0.3])
+        await asyncio.sleep(rng.uniform(3, 6))
+        fleet.fail_share = 0.05
+
+
+async def idle_close(fleet, rng):
+    """Executors close idle connections from now on."""
+    for it in rng.sample(fleet.executors, rng.randint(1, 11)):
+        it.server.idle_s = rng.uniform(0.2, 2)
+
+
+async def store_away(fleet, rng):
+    """The store is away for all processes, or for some."""
+    names = [it.name for it in fleet.programs()]
+    if rng.random() < 0.5:
+        names = rng.sample(names, rng.randint(1, len(names) // 2))
+    mode = rng.choice(["reset", "silent", "busy"])
+    fleet.record.add("store.away", mode=mode, names=len(names))
+    with impaired(fleet, "store"):
+        for it in names:
+            fleet.store.set_mode(it, mode)
+        await asyncio.sleep(rng.uniform(2, 6))
+        for it in names:
+            fleet.store.set_mode(it, "")
+
+
+async def store_slow(fleet, rng):
+    with impaired(fleet, "store"):
+        fleet.store.delay_s = rng.choice([0.05, 0.2, 0.6])
+        await asyncio.sleep(rng.uniform(3, 6))
+        fleet.store.delay_s = 0
+
+
+async def store_loses(fleet, rng):
+    """Answers to transactions are lost; some are applied late."""
+    with impaired(fleet, "store"):
+        fleet.store.lose = rng.choice(["applied", "late", "mixed"])
+        fleet.store.lose_share = rng.choice([0.1, 0.35, 0.7])
+        await asyncio.sleep(rng.uniform(2, 5))
+        fleet.store.lose = None
+        await asyncio.sleep(3)
+
+
+async def store_forgets(fleet, _):
+    fleet.store.forget()
+    fleet.history.calm.mark("store", now_ms())
+
+
+async def configure(fleet, _):
+    await fleet.put_config()
+
+
+FAULT_WEIGHTS = {
+    one_program: 3, planner: 3, series: 3, crash: 3, crash_later: 2, replace: 1, power: 2,
+    leave: 2, slow: 1, unanswered: 4, cut: 2, grey: 1, idle_close: 1,
+    store_away: 3, store_slow: 1, store_loses: 2, store_forgets: 1,
+    configure: 1,
+}
+
+
+def plan(rng, seconds):
+    """@return the moments and kinds of faults: storms with calm between."""
+    out = []
+    at = rng.uniform(1, 4)
+    while at < seconds - 5:
+        length = min(rng.uniform(*STORM_S), seconds - at)
+        for _ in range(rng.randint(*FAULTS)):
+            kind = rng.choices(list(FAULT_WEIGHTS),
+                               list(FAULT_WEIGHTS.values()))[0]
+            out.append((at + rng.uniform(0, length), kind))
+        at += length + rng.uniform(*CALM_S)
+    return sorted(out, key=lambda it: it[0])
+
+
+async def play(fleet, rng, faults):
+    """Plays the faults; @return once all of them have ended."""
+    started = now_ms()
+    running = []
+    for at, kind in faults:
+        await asyncio.sleep(max(0, at - (now_ms() - started) / 1000))
+        fleet.record.add("trouble", kind=kind.__name__)
+        running.append(asyncio.ensure_future(kind(fleet, rng)))
+    await asyncio.gather(*running)
