Give a task up only after two crashes under runs that had begun

Cause: the agent reported a run whose start was never confirmed with the same evidence as one that the worker had confirmed, and the planner counted both. Class: the absence of an answer taken as proof.

Change: the evidence says what is known of the start (confirmed; cut off while the worker was alive; nothing). A task becomes a suspect as before, but is given up only after two crashes under runs that were confirmed, or that were cut off while the task was an isolated suspect and the only one started. What is known is stored with the run numbers. Old agents and rows say nothing, so their crashes are no proof.

Tests: "a task is not given up after one crash under a run that had begun" and "a task is given up after five crashes whatever is known of them"; run_table_test "a run whose start call was cut off by a crash is a suspect" checks the evidence. Constants of suspects_test say now that the worker confirmed the runs, which the tests report as running.

Before the change of the rule (evidence in place, former rule) the test fails:

suspects_test.cc:93: a task is not given up after one crash under a run that had begun / the worker confirmed the second run suspects_test.cc:102: CHECK( job.state == JobState::kPending ): 3 == 0

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -75,8 +75,9 @@
              kReason);
       continue;
     }
-    on_worker.push_back(
-        {task, run.order.run, run.start_sent_at, std::move(run.checkpoint)});
+    on_worker.push_back({task, run.order.run, run.start_sent_at,
+                         std::move(run.checkpoint),
+                         run.phase != RunPhase::kStarting});
   }
   table.runs.clear();
   MonotonicTime last_start{};
@@ -106,6 +107,9 @@
       const Duration age = alive_at - run.start_sent_at;
       crash.run_age_ms = std::max<int64_t>(0, age.count());
       if (is_suspect(run)) crash.suspects = static_cast<uint32_t>(suspects);
+      crash.start = run.confirmed ? StartEvidence::kConfirmed
+                    : was_silent  ? StartEvidence::kNone
+                                  : StartEvidence::kCutOff;
     }
     AddEnd(table, run.task, run.run, RunEnd::kWorkerLost,
            std::move(run.checkpoint), kReason, 0, crash);
@@ -117,8 +121,9 @@
     const auto it = table.runs.begin();
     const AgentRun& run = it->second;
     if (!AwaitsStartCall(run)) {
-      table.lapsed.push_back(
-          {it->first, run.order.run, run.start_sent_at, run.checkpoint});
+      table.lapsed.push_back({it->first, run.order.run, run.start_sent_at,
+                              run.checkpoint,
+                              run.phase != RunPhase::kStarting});
     }
     const RunEnd end = run.phase == RunPhase::kStarting ? RunEnd::kNotStarted
                                                         : RunEnd::kLapsed;
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -64,6 +64,8 @@
   RunNumber run;
   MonotonicTime start_sent_at{};
   std::string checkpoint;
+  /// The worker had confirmed the run.
+  bool confirmed = false;
 };
 
 /// The worker's announcement of itself.
--- a/source/sched/job.cc
+++ b/source/sched/job.cc
@@ -20,6 +20,8 @@
 constexpr size_t kProgressBytesPerStep = 64;
 constexpr size_t kProgressBytesPerFailedTask = 8;
 constexpr size_t kProgressBytesPerFailure = 9;
+/// A crashed run has its proof besides its number.
+constexpr size_t kProgressBytesPerCrash = kProgressBytesPerFailure + 2;
 
 bool ValidateStep(const JobSpec& spec, size_t i, JobReason& why) {
   const StepSpec& step = spec.steps[i];
@@ -110,7 +112,7 @@
           std::max<uint32_t>(1, record.terms.max_attempts);
   const size_t bytes_of_crashes =
       kMaxStoredSuspects *
-      (kProgressBytesPerFailedTask + kProgressBytesPerFailure * kMaxCrashes);
+      (kProgressBytesPerFailedTask + kProgressBytesPerCrash * kMaxCrashes);
   const size_t progress = kProgressRowBytes + bytes_of_crashes +
                           spec.occurrence_count() * bytes_per_occurrence +
                           tasks * bytes_per_task;
--- a/source/sched/job.h
+++ b/source/sched/job.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -179,6 +180,52 @@
   in.at(1).get_to(it.runs);
 }
 
+/// How certain it is that a run had begun when its worker crashed.
+enum class RunProof : uint8_t {
+  kNone,
+  /// The worker crashed before it answered the start call of an isolated
+  /// suspect, the only task that was started at the time.
+  kIsolated,
+  /// The worker had confirmed the run.
+  kConfirmed,
+};
+
+/// A run that may have crashed its worker.
+struct CrashedRun {
+  RunNumber run;
+  RunProof proof = RunProof::kNone;
+};
+
+/// Runs of one task that may have crashed their workers. The first two fields
+/// are stored like those of TaskRuns, which earlier versions read and write.
+struct TaskCrashes {
+  uint32_t index = 0;
+  std::vector<CrashedRun> runs;
+};
+inline void to_json(nlohmann::json& out, const TaskCrashes& it) {
+  std::vector<RunNumber> runs;
+  std::vector<int> proofs;
+  for (const CrashedRun& run : it.runs) {
+    runs.push_back(run.run);
+    proofs.push_back(static_cast<int>(run.proof));
+  }
+  out = {it.index, runs, proofs};
+}
+inline void from_json(const nlohmann::json& in, TaskCrashes& it) {
+  in.at(0).get_to(it.index);
+  std::vector<RunNumber> runs;
+  in.at(1).get_to(runs);
+  std::vector<int> proofs;
+  if (in.size() > 2) in.at(2).get_to(proofs);
+  proofs.resize(runs.size());
+  it.runs.clear();
+  for (size_t i = 0; i < runs.size(); ++i) {
+    const int proof =
+        std::clamp(proofs[i], 0, static_cast<int>(RunProof::kConfirmed));
+    it.runs.push_back({runs[i], static_cast<RunProof>(proof)});
+  }
+}
+
 /// Durable progress of one step of one occurrence.
 struct StepProgress {
   uint32_t occurrence = 0;
@@ -187,7 +234,7 @@
   std::string done;
   std::vector<TaskRuns> failures;
   /// Runs that may have crashed their worker.
-  std::vector<TaskRuns> crashes;
+  std::vector<TaskCrashes> crashes;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StepProgress, occurrence, step,
                                                 done, failures, crashes)
@@ -196,8 +243,8 @@
 /// the crashes of further tasks are forgotten when the planner changes.
 inline constexpr size_t kMaxStoredSuspects = 64;
 /// A task is given up after this many runs that may have crashed their worker,
-/// whatever else was started at the time.
-inline constexpr size_t kMaxCrashes = 4;
+/// whatever is known of them.
+inline constexpr size_t kMaxCrashes = 5;
 
 /// Progress row of a job in the store. It does not exist until there is
 /// something to record.
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -150,6 +150,20 @@
   in.at(7).get_to(it.unsized);
 }
 
+/// What is known of the start of a run whose worker crashed.
+enum class StartEvidence : uint8_t {
+  /// The start call may not have reached the worker, or the agent did not say.
+  kNone,
+  /// The worker was alive until the start call failed, but did not answer it.
+  kCutOff,
+  /// The worker had confirmed the run.
+  kConfirmed,
+};
+NLOHMANN_JSON_SERIALIZE_ENUM(StartEvidence,
+                             {{StartEvidence::kNone, "none"},
+                              {StartEvidence::kCutOff, "cut_off"},
+                              {StartEvidence::kConfirmed, "confirmed"}})
+
 /// Evidence whether a run crashed its worker.
 struct CrashEvidence {
   /// How long the run had been on the worker when it crashed, as far as the
@@ -158,6 +172,7 @@
   /// Number of runs, including this one, that were started last before the
   /// crash; 0 if this run was started earlier.
   uint32_t suspects = 0;
+  StartEvidence start = StartEvidence::kNone;
 
   bool operator==(const CrashEvidence&) const = default;
 };
@@ -185,7 +200,8 @@
          it.checkpoint,
          it.reason,
          it.crash.run_age_ms,
-         it.crash.suspects};
+         it.crash.suspects,
+         it.crash.start};
 }
 inline void from_json(const nlohmann::json& in, RunEndReport& it) {
   in.at(0).get_to(it.number);
@@ -199,6 +215,8 @@
   if (in.size() < kFieldsWithEvidence) return;
   in.at(6).get_to(it.crash.run_age_ms);
   in.at(7).get_to(it.crash.suspects);
+  if (in.size() == kFieldsWithEvidence) return;
+  in.at(kFieldsWithEvidence).get_to(it.crash.start);
 }
 
 /// State of a VM's worker, reported by its agent.
--- a/source/sched/shard_state.cc
+++ b/source/sched/shard_state.cc
@@ -119,24 +119,22 @@
       ++step.done;
       job.started = true;
     }
-    const auto restore = [&](const TaskRuns& stored,
-                             std::vector<RunNumber> TaskEntity::*runs) {
-      if (stored.index >= step.tasks.size() || stored.runs.empty())
-        return false;
-      TaskEntity& task = step.tasks[stored.index];
-      task.*runs = stored.runs;
-      const RunNumber last =
-          *std::max_element(stored.runs.begin(), stored.runs.end());
-      task.run = std::max(task.run, last);
+    const auto note_run = [&](TaskEntity& task, RunNumber run) {
+      task.run = std::max(task.run, run);
       task.last_ended_run = task.run;
       job.started = true;
-      return true;
     };
     for (const TaskRuns& failed : row.failures) {
-      restore(failed, &TaskEntity::failed_runs);
+      if (failed.index >= step.tasks.size()) continue;
+      TaskEntity& task = step.tasks[failed.index];
+      task.failed_runs = failed.runs;
+      for (const RunNumber run : failed.runs) note_run(task, run);
     }
-    for (const TaskRuns& crashed : row.crashes) {
-      if (!restore(crashed, &TaskEntity::crashed_runs)) continue;
+    for (const TaskCrashes& crashed : row.crashes) {
+      if (crashed.index >= step.tasks.size() || crashed.runs.empty()) continue;
+      TaskEntity& task = step.tasks[crashed.index];
+      task.crashed_runs = crashed.runs;
+      for (const CrashedRun& it : crashed.runs) note_run(task, it.run);
       const TaskKey key{spec.id, row.occurrence, row.step, crashed.index};
       shard.crashed_tasks.insert(key);
       shard.suspects.insert(key);
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -40,7 +40,7 @@
   /// Failed runs that count as attempts, in the order they were reported.
   std::vector<RunNumber> failed_runs;
   /// Runs that may have crashed their worker.
-  std::vector<RunNumber> crashed_runs;
+  std::vector<CrashedRun> crashed_runs;
   /// Longest time between the start of such a run and the crash.
   Duration longest_crash_delay{};
   std::string checkpoint;
--- a/source/sched/suspects.cc
+++ b/source/sched/suspects.cc
@@ -36,6 +36,12 @@
 /// Crashes after which a task is given up if it was the only suspect of the
 /// last one.
 constexpr size_t kCrashesOfOnlySuspect = 3;
+/// The same if other tasks were started as well.
+constexpr size_t kCrashesOfOneOfMany = 4;
+/// A task is given up only after this many crashes under a run that surely had
+/// begun, or very likely. A worker that crashes before it answers a start call
+/// may have crashed before the call.
+constexpr size_t kLikelyCrashes = 2;
 /// Number of crashes that make a task a suspect although other tasks were
 /// started after it.
 constexpr size_t kCrashesOfSuspect = 3;
@@ -61,6 +67,25 @@
   return crash.run_age_ms >= 0 && Duration(crash.run_age_ms) <= kMaxCrashDelay;
 }
 
+size_t CountCrashes(const TaskEntity& task, RunProof at_least) {
+  return std::count_if(
+      task.crashed_runs.begin(), task.crashed_runs.end(),
+      [&](const CrashedRun& it) { return it.proof >= at_least; });
+}
+
+/// @param only_suspect no other task was started before the last crash.
+/// @return true if a task is to be given up.
+bool IsProvenDeadly(const TaskEntity& task, bool only_suspect) {
+  const size_t crashes = task.crashed_runs.size();
+  if (crashes >= kMaxCrashes) return true;
+  if (CountCrashes(task, RunProof::kIsolated) < kLikelyCrashes) return false;
+  if (crashes >= kCrashesOfOneOfMany) return true;
+  if (!only_suspect) return false;
+  return crashes >= kCrashesOfOnlySuspect ||
+         (CountCrashes(task, RunProof::kConfirmed) >= kLikelyCrashes &&
+          task.longest_crash_delay <= kImmediateCrashDelay);
+}
+
 /// @return true if a run has been at work for `time`, or for longer than it
 /// takes the task to crash a worker.
 bool HasRunFor(const VmEntity& vm, const VmRun& run, const TaskEntity& task,
@@ -80,16 +105,24 @@
                         Decisions& log) {
   if (!MayHaveCausedCrash(end.crash)) return;
   auto& crashed = task.crashed_runs;
-  if (std::find(crashed.begin(), crashed.end(), end.run) != crashed.end()) {
-    return;
-  }
+  const bool is_known =
+      std::any_of(crashed.begin(), crashed.end(),
+                  [&](const CrashedRun& it) { return it.run == end.run; });
+  if (is_known) return;
   const Duration delay(end.crash.run_age_ms);
   task.longest_crash_delay = std::max(task.longest_crash_delay, delay);
   const bool was_suspect = shard.suspects.contains(end.task);
   // It ran long enough for the next suspect to start. If it is guilty all the
   // same, the longer delay makes it the last one next time.
   if (was_suspect && end.crash.suspects == 0) return;
-  crashed.push_back(end.run);
+  const bool only_suspect = was_suspect && end.crash.suspects == 1;
+  RunProof proof = RunProof::kNone;
+  if (end.crash.start == StartEvidence::kConfirmed) {
+    proof = RunProof::kConfirmed;
+  } else if (end.crash.start == StartEvidence::kCutOff && only_suspect) {
+    proof = RunProof::kIsolated;
+  }
+  crashed.push_back({end.run, proof});
   shard.crashed_tasks.insert(end.task);
   MarkDirty(shard, end.task.job);
   if (end.crash.suspects == 0 && crashed.size() < kCrashesOfSuspect) return;
@@ -99,14 +132,11 @@
   Decision suspected = MakeDecision(
       Decision::Kind::kSuspected, end.task, vm.id, end.run,
       "one of " + std::to_string(end.crash.suspects) +
-          " suspects, crash number " + std::to_string(crashed.size()));
+          " suspects, crash number " + std::to_string(crashed.size()) +
+          (proof == RunProof::kConfirmed ? "" : ", start not confirmed"));
   suspected.age_ms = end.crash.run_age_ms;
   log.push_back(std::move(suspected));
-  const bool only_suspect = was_suspect && end.crash.suspects == 1;
-  const bool proven =
-      only_suspect && (crashed.size() >= kCrashesOfOnlySuspect ||
-                       task.longest_crash_delay <= kImmediateCrashDelay);
-  if (!proven && crashed.size() < kMaxCrashes) return;
+  if (!IsProvenDeadly(task, only_suspect)) return;
   log.push_back(MakeDecision(Decision::Kind::kGivenUp, end.task, vm.id, end.run,
                              std::to_string(crashed.size()) +
                                  " workers crashed when they started it"));
