Never refuse a job as not run while an earlier attempt is unanswered

An entry forwards a submission to the planner, gets no answer within 2 s, and sends it again; the planner refuses the second message (503, the store is away), and the caller is told that the job has not run. The first message is still on its way, or in the socket buffer of a planner that was stopped, and is carried out when it arrives.

Cause: Gateway::TrySend kept `may_have_reached_planner`, but looked at it only when the deadline had passed; a refusal of a later attempt ended the call as kUnavailable at once. Class: the answer to one attempt taken for the answer to all of them.

Fix: once an attempt of a submission or a cancellation is unanswered, a refusal of a later one ends the call as kUnknown (504). Rejections by validation and answers to reads stay as they are. The answer of a planner in the same process to the first attempt is still final.

--- a/source/planner/gateway.cc
+++ b/source/planner/gateway.cc
@@ -23,7 +23,7 @@
   JobCall call;
   MonotonicTime deadline{};
   Planner::AnswerFn fn;
-  /// A planner may have received the request.
+  /// A planner may have received the request, or may receive it later.
   bool may_have_reached_planner = false;
   /// When a planner first reported that it cannot reach the store; zero if
   /// none has.
@@ -33,6 +33,22 @@
     const auto done = std::exchange(fn, nullptr);
     if (done) done(answer);
   }
+
+  /// Finishes with the answer to the latest attempt.
+  /// @param earlier_may_act an earlier attempt may have taken effect, or may
+  /// still do so, so that a refusal of the latest one says nothing about it.
+  void FinishAttempt(const JobAnswer& answer, bool earlier_may_act) {
+    const bool has_effect =
+        call.verb == JobVerb::kSubmit || call.verb == JobVerb::kCancel;
+    if (!earlier_may_act || !has_effect ||
+        answer.verdict != JobVerdict::kUnavailable) {
+      return Finish(answer);
+    }
+    JobAnswer unknown = answer;
+    unknown.verdict = JobVerdict::kUnknown;
+    unknown.reason = "an earlier attempt is unanswered; " + answer.reason;
+    Finish(unknown);
+  }
 };
 
 void Gateway::Call(const JobCall& call, Duration timeout,
@@ -70,16 +86,18 @@
     return pending_call->Finish(answer);
   }
   if (planner_.planning()) {
-    pending_call->may_have_reached_planner = true;
+    const bool earlier_may_act =
+        std::exchange(pending_call->may_have_reached_planner, true);
     // The planner may answer after the deadline; this timer then answers the
     // caller.
     loop_.RunAfter(remaining, [this, pending_call] { TrySend(pending_call); });
-    return planner_.Handle(pending_call->call,
-                           [this, pending_call](const auto& answer) {
-                             if (answer.verdict == JobVerdict::kUnknown)
-                               return RetryLater(pending_call);
-                             pending_call->Finish(answer);
-                           });
+    return planner_.Handle(
+        pending_call->call,
+        [this, pending_call, earlier_may_act](const auto& answer) {
+          if (answer.verdict == JobVerdict::kUnknown)
+            return RetryLater(pending_call);
+          pending_call->FinishAttempt(answer, earlier_may_act);
+        });
   }
   const auto& owner = planner_.owner();
   if (!owner) return RetryLater(pending_call);
@@ -93,7 +111,8 @@
           return RetryLater(pending_call);
         }
         if (answer && answer->verdict != JobVerdict::kUnknown) {
-          return pending_call->Finish(*answer);
+          return pending_call->FinishAttempt(
+              *answer, pending_call->may_have_reached_planner);
         }
         if (answer) {
           if (!answer->no_effect) pending_call->may_have_reached_planner = true;
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -279,6 +279,44 @@
   CHECK(answers.all[0].verdict == JobVerdict::kUnknown);
 }
 
+// Regression test: a request that went unanswered was refused as not run when
+// it was sent again, and took effect when the first message arrived.
+TEST_CASE("a job that is still on its way is never reported as not run") {
+  TestCluster cluster;
+  Entry a(cluster, "a", kFirst);
+  cluster.Advance(Duration(1'000));
+  Entry b(cluster, "b", kSecond);
+  cluster.Advance(Duration(500));
+  std::string held;
+  b.links.SetTransport([&](const Address&, const char*,
+                           const std::string& bytes, Duration timeout,
+                           const PeerLinks::BytesCallback& fn) {
+    if (held.empty()) {
+      held = bytes;
+      cluster.loop.RunAfter(timeout, [fn] {
+        fn(std::nullopt, {WireError::kTimeout, "no answer"});
+      });
+      return;
+    }
+    WireReason why;
+    a.planner.Handle(
+        *DecodeMessage<JobCall>(bytes, why),
+        [fn](const JobAnswer& answer) { fn(EncodeMessage(answer), {}); });
+  });
+  cluster.memory.next_error = PlatformError::kRefused;
+  Answers answers;
+  b.gateway.Call(Submit("j"), kCallTimeout, answers.Fn());
+  cluster.Advance(kCallTimeout + Duration(100));
+  REQUIRE(answers.all.size() == 1);
+  CHECK(answers.all[0].verdict == JobVerdict::kUnknown);
+  cluster.memory.next_error = PlatformError::kNone;
+  cluster.Advance(Duration(500));
+  WireReason why;
+  a.planner.Handle(*DecodeMessage<JobCall>(held, why), answers.Fn());
+  cluster.Advance(Duration(200));
+  CHECK(cluster.worker_starts == 1);
+}
+
 TEST_CASE("a job that no planner received is reported as not run") {
   TestCluster cluster;
   Entry a(cluster, "a", kFirst);
