Bound the starts of one batch of orders

Cause: the planner puts all starts for a VM into one request; the server of the agent takes 1 MiB and refuses a larger one, and the same batch is sent again without end. Class: a message whose size depends on the load, to a receiver with a fixed limit.

Fix: CollectOrders stops adding starts at 512 KiB of payloads, checkpoints and overhead; the others follow in the next batch, which is sent once this one is answered. Stops, speed limits and sizes are small and are not bounded. Messages are CBOR, so that a payload does not grow by escaping.

--- a/source/sched/orders.cc
+++ b/source/sched/orders.cc
@@ -8,6 +8,16 @@
 constexpr int kFencingLifeBits = 12;
 constexpr int kFencingEpochBits = 24;
 
+/// Limit for the starts of one batch. An agent's server accepts 1 MiB.
+constexpr size_t kMaxStartBytesPerBatch = 512 << 10;
+/// Size of an encoded start without its payload, checkpoint and names.
+constexpr size_t kStartOverheadBytes = 256;
+
+size_t EncodedSize(const StartOrder& order) {
+  return kStartOverheadBytes + order.task.job.value.size() +
+         order.payload.size() + order.checkpoint.size() + order.permit.size();
+}
+
 /// A start is not sent while ends of the VM may be missing: an earlier process
 /// of the agent may have carried it out.
 bool NeedsStart(const VmEntity& vm, const VmRun& run) {
@@ -38,6 +48,7 @@
 void CollectOrders(ShardState& shard, VmEntity& vm, SyncRequest& request) {
   const uint64_t batch = ++vm.batch_sent;
   request.batch = batch;
+  size_t start_bytes = 0;
   for (auto& [key, run] : vm.runs) {
     if (run.size_requested && run.known) {
       run.size_requested = false;
@@ -54,7 +65,8 @@
       run.speed_limit_sent = run.speed_limit_wanted;
       request.paces.push_back({key, run.run, run.speed_limit_wanted});
     }
-    if (!NeedsStart(vm, run)) continue;
+    // The remaining starts follow in the next batch.
+    if (!NeedsStart(vm, run) || start_bytes >= kMaxStartBytesPerBatch) continue;
     const TaskEntity* task = FindTask(shard, key);
     const auto job = shard.jobs.find(key.job);
     if (task == nullptr || job == shard.jobs.end()) {
@@ -66,6 +78,7 @@
     request.starts.push_back({key, run.run, run.size, run.filler,
                               job->second.record.spec.payload, task->checkpoint,
                               "", run.speed_limit_wanted});
+    start_bytes += EncodedSize(request.starts.back());
   }
 }
 
--- a/tests/sched/shard_state_test.cc
+++ b/tests/sched/shard_state_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 #include "sched/shard_state_builder.h"
 
 namespace almondtally::sched {
@@ -244,6 +246,35 @@
   CHECK(second.batch > first.batch);
 }
 
+// Regression test: an agent refused a batch of orders over 1 MiB, and the
+// planner sent it again without end.
+TEST_CASE("a batch of orders stays below the limit of an agent's server") {
+  constexpr size_t kServerLimit = 1 << 20;
+  constexpr uint32_t kTasks = 350;
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a", 1'000'000);
+  JobEntity& job = AcceptJob(shard, "j", {Step(kTasks, 100)});
+  job.record.spec.payload = std::string(4'000, 'x');
+  Place(shard);
+  REQUIRE(vm.runs.size() == kTasks);
+  std::set<TaskKey> started;
+  while (HasUnsentOrders(vm)) {
+    SyncRequest request;
+    CollectOrders(shard, vm, request);
+    REQUIRE_FALSE(request.starts.empty());
+    CHECK(EncodeMessage(request).size() < kServerLimit);
+    SyncReport report = Report(vm, 1'000'000);
+    for (const StartOrder& start : request.starts) {
+      CHECK(started.insert(start.task).second);
+      report.runs.push_back(Running(start.task, start.run));
+    }
+    Decisions log;
+    ApplyReport(shard, kNow, vm, report, log);
+  }
+  CHECK(started.size() == kTasks);
+  CHECK(vm.runs.size() == kTasks);
+}
+
 TEST_CASE("run ends are acknowledged only after the store has recorded them") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a");
