--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -206,6 +206,7 @@
           HandleRenewalFailure(table_, now, call, result);
           next_renewal_at_ = now + kRenewRetryDelay;
         }
+        LogSettledStarts();
         if (was_responsive != table_.worker.responsive) {
           Log(Event::kWorkerSilent,
               {{"worker", call.call.worker.value},
@@ -235,6 +236,18 @@
        {"reason", result.text}});
 }
 
+void Agent::LogSettledStarts() {
+  for (const SettledStart& it : std::exchange(table_.settled_starts, {})) {
+    Log(Event::kStartSettled,
+        {{"task", ToString(it.task)},
+         {"run", static_cast<int64_t>(it.run.value)},
+         {"worker", table_.worker.id.value},
+         {"fencing", static_cast<int64_t>(it.call_fencing)},
+         {"outcome", it.outcome},
+         {"age_ms", it.age.count()}});
+  }
+}
+
 void Agent::SendWorkerCalls() {
   const MonotonicTime now = loop_.now();
   for (const StartCall& it : BeginStartCalls(table_, now)) {
@@ -266,6 +279,7 @@
 
 void Agent::Tick() {
   ExpireLeases(table_, loop_.now());
+  LogSettledStarts();
   Renew();
   SendWorkerCalls();
   EnsureRowIsValid();
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -48,6 +48,7 @@
   };
 
   void Renew();
+  void LogSettledStarts();
   void SendWorkerCalls();
   void AnswerPendingSyncs();
   void Answer(const Exchange& exchange, const SyncRequest& request);
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -49,6 +49,16 @@
   table.ends.push_back(std::move(entry));
 }
 
+/// Notes for the log that the outcome of a start is known, if the start call
+/// went unanswered.
+void NoteSettledStart(RunTable& table, MonotonicTime now, const AgentRun& run,
+                      const char* outcome) {
+  if (!run.start_unanswered) return;
+  table.settled_starts.push_back({run.order.task, run.order.run,
+                                  run.call_fencing, outcome,
+                                  now - run.start_sent_at});
+}
+
 /// Ends a run that the worker has not reported as ended.
 void EndRunLocally(RunTable& table, std::map<TaskKey, AgentRun>::iterator it,
                    RunEnd end, std::string reason) {
@@ -112,10 +122,11 @@
   }
 }
 
-void EndAllRunsAsLapsed(RunTable& table) {
+void EndAllRunsAsLapsed(RunTable& table, MonotonicTime now) {
   while (!table.runs.empty()) {
     const auto it = table.runs.begin();
     const AgentRun& run = it->second;
+    NoteSettledStart(table, now, run, "lease_expired");
     if (!AwaitsStartCall(run)) {
       table.lapsed.push_back(
           {it->first, run.order.run, run.start_sent_at, run.checkpoint});
@@ -305,6 +316,7 @@
   if (run.order.run != listed.run) return;
   const bool started = is_new || run.phase == RunPhase::kStarting;
   if (started) {
+    NoteSettledStart(table, now, run, "running");
     run.phase = RunPhase::kRunning;
     run.start_unanswered = false;
     run.confirmed_at = now;
@@ -321,24 +333,28 @@
   MarkChanged(table, run);
 }
 
-void ApplyListedEnd(RunTable& table, const WorkerRunEnd& end) {
+void ApplyListedEnd(RunTable& table, MonotonicTime now,
+                    const WorkerRunEnd& end) {
   if (end.number <= table.worker_end_seen) return;
   table.worker_end_seen = end.number;
   AddEnd(table, end.task, end.run, end.end, end.checkpoint, "", end.number);
   const auto it = table.runs.find(end.task);
   if (it == table.runs.end() || it->second.order.run > end.run) return;
+  NoteSettledStart(table, now, it->second, "ended");
   table.runs.erase(it);
 }
 
 /// Ends runs that the worker did not list although it would have if they were
 /// running.
-void ResolveUnlistedRuns(RunTable& table, const RenewCall& call,
+void ResolveUnlistedRuns(RunTable& table, MonotonicTime now,
+                         const RenewCall& call,
                          const std::set<TaskKey>& listed) {
   for (auto it = table.runs.begin(); it != table.runs.end();) {
     const auto next = std::next(it);
     const AgentRun& run = it->second;
     if (!listed.contains(it->first)) {
       if (run.start_unanswered && run.call_fencing < call.call.fencing) {
+        NoteSettledStart(table, now, run, "not_started");
         EndRunLocally(table, it, RunEnd::kNotStarted, "start unanswered");
       } else if (run.phase != RunPhase::kStarting &&
                  run.confirmed_at < call.sent_at) {
@@ -648,9 +664,9 @@
     listed.insert(run.task);
     ApplyListedRun(table, now, run);
   }
-  for (const WorkerRunEnd& end : listing.ended) ApplyListedEnd(table, end);
+  for (const WorkerRunEnd& end : listing.ended) ApplyListedEnd(table, now, end);
   if (!listing.complete) return;
-  ResolveUnlistedRuns(table, call, listed);
+  ResolveUnlistedRuns(table, now, call, listed);
   MarkComplete(table);
 }
 
@@ -685,7 +701,7 @@
   const Duration drift =
       (sent_until - table.clock_at) * kClockDriftPercent / 100;
   if (now <= sent_until + drift) return;
-  EndAllRunsAsLapsed(table);
+  EndAllRunsAsLapsed(table, now);
   MarkComplete(table);
 }
 
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -66,6 +66,17 @@
   std::string checkpoint;
 };
 
+/// A start that went unanswered and whose outcome has become known.
+struct SettledStart {
+  TaskKey task;
+  RunNumber run;
+  /// Fencing number of the start call.
+  uint64_t call_fencing = 0;
+  const char* outcome = "";
+  /// Time since the call was sent.
+  Duration age{};
+};
+
 /// The worker's announcement of itself.
 struct WorkerHello {
   WorkerReport worker;
@@ -127,6 +138,8 @@
   /// Runs of the present worker process that lapsed since it last answered.
   std::vector<LapsedRun> lapsed;
   std::deque<UnrecordedEnd> ends;
+  /// For the log; the caller removes them.
+  std::vector<SettledStart> settled_starts;
   uint64_t last_end = 0;
   uint64_t worker_end_seen = 0;
   uint64_t worker_end_recorded = 0;
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -277,7 +277,9 @@
        "an agent does not have a run that was ordered or reported before, and "
        "reported no end of it; its task is idle again"},
       {Event::kTaskWaiting, "task.waiting", kPlanning, kWarning,
-       "a lasting task is idle for over a second, with the reason"},
+       "a ready task has not run for over 3 s, a lasting one for over 1 s, "
+       "with "
+       "the reason; age is how long it has waited"},
       {Event::kTailOverTarget, "tail.over_target", kPlanning, kInfo,
        "a serving task misses its target; the reason lists the weights of the "
        "fillers on its VM"},
@@ -310,6 +312,9 @@
        "the first order from a planner with a new epoch was received"},
       {Event::kAgentListed, "agent.listed", kMembership, kInfo,
        "this agent wrote its row"},
+      {Event::kStartSettled, "start.settled", kMembership, kInfo,
+       "the outcome of a start without an answer has become known; age is the "
+       "time since the call was sent"},
       {Event::kSettingsReloaded, "settings.reloaded", kProcess, kInfo,
        "the settings were reloaded, with what changed"},
   };
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -197,7 +197,7 @@
   const MonotonicTime now = loop_.now();
   Decisions log;
   ExpireVmLeases(board_, now, log);
-  LogWaitingTasks(board_, now, log);
+  LogWaitingTasks(board_, now, now - ownership_proven_at_, log);
   LogTargetMisses(board_, log);
   LogDecisions(log);
   RemoveSilentVms();
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -366,6 +366,7 @@
   task.run = number;
   task.vm = vm.id;
   task.last_vm = vm.id;
+  if (task.waiting_since == MonotonicTime{}) task.waiting_since = task.since;
   task.since = now;
   VmRun run;
   run.run = number;
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -116,6 +116,10 @@
   task.vm = {};
   task.since = now;
   if (!end.checkpoint.empty()) task.checkpoint = end.checkpoint;
+  if (end.end != RunEnd::kNotStarted) {
+    task.waiting_since = now;
+    task.refused_starts = 0;
+  }
   switch (end.end) {
     case RunEnd::kDone:
       vm.failing_jobs.clear();
@@ -126,6 +130,8 @@
       return ProcessFailure(shard, now, job, key, task, end.run, vm, log);
     case RunEnd::kNotStarted:
       DelayPlacement(task, now + kRefusedStartDelay);
+      ++task.refused_starts;
+      task.last_refusal = end.reason;
       break;
     case RunEnd::kStopped:
     case RunEnd::kLapsed:
@@ -233,7 +239,13 @@
   }
   if (!report.checkpoint.empty()) task->checkpoint = report.checkpoint;
   if (report.phase == RunPhase::kRunning) job->started = true;
-  if (task->phase == TaskPhase::kIdle) {
+  const bool is_current = task->vm == vm.id && task->run == report.run;
+  const bool is_adopted = task->phase == TaskPhase::kIdle;
+  if (report.phase != RunPhase::kStarting && (is_current || is_adopted)) {
+    task->waiting_since = {};
+    task->refused_starts = 0;
+  }
+  if (is_adopted) {
     task->phase = TaskPhase::kPlaced;
     task->vm = vm.id;
     task->run = report.run;
@@ -246,7 +258,6 @@
     log.push_back(std::move(decision));
     return;
   }
-  const bool is_current = task->vm == vm.id && task->run == report.run;
   if (!is_current) run.stop_wanted = true;
 }
 
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -48,6 +48,12 @@
   MonotonicTime not_before{};
   /// When the task became ready to place or was last placed.
   MonotonicTime since{};
+  /// Since when the task has waited for a run that its worker confirms, with
+  /// the starts that were not carried out since then and the reason of the last
+  /// one; zero while a run is confirmed. For the log only.
+  MonotonicTime waiting_since{};
+  uint32_t refused_starts = 0;
+  std::string last_refusal;
   /// VMs on which the task failed; placement avoids them.
   std::vector<VmId> failed_on;
 };
@@ -230,6 +236,8 @@
   uint64_t recorded_change = 0;
   /// Jobs whose progress row must be written.
   std::set<JobId> dirty;
+  /// Earliest time of the next scan for tasks that wait.
+  MonotonicTime next_wait_scan_at{};
   /// Ended jobs, oldest first, that are deleted from the store later.
   std::deque<JobId> ended;
   /// Unix time minus monotonic time, in ms.
@@ -329,8 +337,11 @@
 /// their start was sent.
 void StopRunsToMove(ShardState& shard, MonotonicTime now, Decisions& log);
 
-/// Logs lasting tasks that have been idle for over a second, with the reason.
-void LogWaitingTasks(ShardState& shard, MonotonicTime now, Decisions& log);
+/// Logs ready tasks that have not run for over 3 s, lasting ones for over 1 s,
+/// with the reason. Logs one task of a step, and a limited number at a time.
+/// @param proof_age time since the planner last proved its ownership.
+void LogWaitingTasks(ShardState& shard, MonotonicTime now, Duration proof_age,
+                     Decisions& log);
 /// Logs serving tasks that began to miss their target, with the fillers beside
 /// them, and those that meet it again.
 void LogTargetMisses(ShardState& shard, Decisions& log);
--- a/source/sched/waiting.cc
+++ b/source/sched/waiting.cc
@@ -4,25 +4,40 @@
 #include "sched/detail.h"
 #include "sched/shard_state.h"
 
-// Diagnostics only: states why lasting tasks are not placed, and when serving
-// tasks miss their target.
+// Diagnostics only: states why ready tasks do not run, and when serving tasks
+// miss their target.
 
 namespace almondtally::sched {
 namespace {
 
-/// A lasting task that is idle for longer is logged.
-constexpr Duration kLogWaitAfter{1'000};
-constexpr Duration kLogWaitInterval{2'000};
+constexpr Duration kScanInterval{500};
+/// A task that has not run for longer is logged.
+constexpr Duration kLogTaskAfter{3'000};
+constexpr Duration kLogTaskInterval{10'000};
+constexpr Duration kLogLastingTaskAfter{1'000};
+constexpr Duration kLogLastingTaskInterval{2'000};
+/// Limits the lines of one scan. The steps that were passed over come first in
+/// the next scans, while those that were logged wait for their interval.
+constexpr size_t kMaxLinesPerScan = 8;
+/// Commits are usually further apart than this only while the store is away.
+constexpr Duration kUsualCommitAge{1'300};
 
 /// Number of VMs of a service by the reason why they do not get a task.
 struct VmCounts {
-  int unavailable = 0;
+  int silent = 0;
+  int unresponsive = 0;
+  int draining = 0;
+  int unproven = 0;
   int set_aside = 0;
   int without_room = 0;
   int closed_to_task = 0;
   int suitable = 0;
 };
 
+std::string Milliseconds(Duration time) {
+  return std::to_string(time.count()) + " ms";
+}
+
 bool IsClosedToTask(const VmEntity& vm, const StepSpec& step,
                     const TaskKey& key) {
   if (vm.runs.contains(key)) return true;
@@ -46,9 +61,14 @@
                            std::find(labels.begin(), labels.end(),
                                      step.required_label) != labels.end();
     if (vm.synced && (vm.worker.service != service || !has_label)) continue;
-    if (!vm.synced || vm.partial || !vm.worker.responsive ||
-        vm.worker.draining) {
-      ++out.unavailable;
+    if (!vm.synced) {
+      ++out.silent;
+    } else if (vm.partial || vm.row_unproven) {
+      ++out.unproven;
+    } else if (!vm.worker.responsive) {
+      ++out.unresponsive;
+    } else if (vm.worker.draining) {
+      ++out.draining;
     } else if (!Fits(step.each, vm.worker.capacity - ReservedCapacity(vm))) {
       ++out.without_room;
     } else if (IsClosedToTask(vm, step, key)) {
@@ -62,20 +82,94 @@
   return out;
 }
 
-std::string ReasonToWait(const ShardState& shard, MonotonicTime now,
+std::string DescribeVms(const VmCounts& n) {
+  return "vms: silent=" + std::to_string(n.silent) +
+         " unproven=" + std::to_string(n.unproven) +
+         " unresponsive=" + std::to_string(n.unresponsive) +
+         " draining=" + std::to_string(n.draining) +
+         " without_room=" + std::to_string(n.without_room) +
+         " closed_to_task=" + std::to_string(n.closed_to_task) +
+         " set_aside=" + std::to_string(n.set_aside) +
+         " suitable=" + std::to_string(n.suitable);
+}
+
+/// @return how far the start of a run has got.
+std::string DescribeRun(MonotonicTime now, const VmEntity& vm,
+                        const VmRun& run) {
+  std::string out = "start not sent";
+  if (run.seen) {
+    out = run.phase == RunPhase::kStarting ? "start not confirmed by the worker"
+                                           : "run being stopped";
+  } else if (run.start_batch != 0) {
+    out = "orders not answered yet";
+  } else if (run.maybe_sent) {
+    out = "orders unanswered";
+  }
+  out += ", vm=" + vm.id.value + " silent for " +
+         Milliseconds(now - vm.last_report_at);
+  if (!vm.worker.responsive) out += ", worker unresponsive";
+  return out;
+}
+
+/// @return the reason why a task that is assigned to a VM does not run.
+std::string ReasonOfPlaced(const ShardState& shard, MonotonicTime now,
+                           const TaskKey& key, const TaskEntity& task) {
+  const std::string placed =
+      "placed " + Milliseconds(now - task.since) + " ago: ";
+  const auto vm = shard.vms.find(task.vm);
+  if (vm == shard.vms.end()) return placed + "vm unknown";
+  const auto run = vm->second.runs.find(key);
+  if (run == vm->second.runs.end()) return placed + "run unknown";
+  return placed + DescribeRun(now, vm->second, run->second);
+}
+
+/// @return the reason why a task that is not assigned to a VM is not placed.
+std::string ReasonOfIdle(ShardState& shard, MonotonicTime now,
                          const JobEntity& job, const StepSpec& step,
                          const TaskKey& key, const TaskEntity& task) {
   if (job.loaded_from_store && IsRecovering(shard, now)) {
     return "runs of the previous planner may still execute on VMs that have "
            "not reported";
   }
-  if (task.not_before > now) return "restart delayed";
-  const VmCounts n = CountVms(shard, now, job.terms.service, step, key);
-  return "vms: unavailable=" + std::to_string(n.unavailable) +
-         " without_room=" + std::to_string(n.without_room) +
-         " closed_to_task=" + std::to_string(n.closed_to_task) +
-         " set_aside=" + std::to_string(n.set_aside) +
-         " suitable=" + std::to_string(n.suitable);
+  if (task.not_before > now) {
+    return "restart delayed by " + Milliseconds(task.not_before - now);
+  }
+  const bool is_suspect = shard.suspects.contains(key);
+  const TaskKey first_of_step{key.job, key.occurrence, key.step, 0};
+  if (is_suspect || (!step.lasting && HasSuspect(shard, first_of_step))) {
+    const SuspectTests tests = ListSuspectTests(shard, now);
+    return std::string(is_suspect ? "task" : "another task of the step") +
+           " suspected of crashing workers: suspects=" +
+           std::to_string(shard.suspects.size()) +
+           " tested_on=" + std::to_string(tests.vms.size());
+  }
+  std::string out;
+  for (const auto& [id, vm] : shard.vms) {
+    const auto run = vm.runs.find(key);
+    if (run == vm.runs.end()) continue;
+    out += "earlier run: " + DescribeRun(now, vm, run->second) + "; ";
+  }
+  return out + DescribeVms(CountVms(shard, now, job.terms.service, step, key));
+}
+
+/// @return the state of the planner's ownership if it may keep tasks from
+/// being started.
+std::string DescribeOwnership(const ShardState& shard, Duration proof_age) {
+  if (proof_age <= kUsualCommitAge) return "";
+  size_t uncommitted_ends = 0;
+  for (const auto& [id, vm] : shard.vms) {
+    uncommitted_ends += vm.uncommitted_ends.size();
+  }
+  return "no commit for " + Milliseconds(proof_age) +
+         ", uncommitted_ends=" + std::to_string(uncommitted_ends) +
+         (proof_age >= kOwnershipProofValidity ? ", no leases granted; "
+                                               : "; ");
+}
+
+std::string DescribeRefusals(const TaskEntity& task) {
+  if (task.refused_starts == 0) return "";
+  return "starts not carried out=" + std::to_string(task.refused_starts) +
+         ", last on " + task.last_vm.value + ": " + task.last_refusal + "; ";
 }
 
 /// @return the images of the fillers that execute on a VM, with their weights
@@ -92,36 +186,69 @@
   return out;
 }
 
-void LogWaitingStep(ShardState& shard, MonotonicTime now, const JobEntity& job,
-                    uint32_t occurrence, uint32_t step_index, StepEntity& step,
-                    Decisions& log) {
-  const StepSpec& spec = job.record.spec.steps[step_index];
-  if (!spec.lasting || !step.ready || now < step.next_wait_log_at) return;
+/// @return the task of a step that has waited longest; null if none waits.
+/// @param index receives its index.
+TaskEntity* FindLongestWait(StepEntity& step, MonotonicTime now,
+                            uint32_t& index) {
+  TaskEntity* out = nullptr;
   for (uint32_t i = 0; i < step.tasks.size(); ++i) {
-    const TaskEntity& task = step.tasks[i];
-    if (task.phase != TaskPhase::kIdle || now - task.since < kLogWaitAfter)
+    TaskEntity& task = step.tasks[i];
+    if (task.phase == TaskPhase::kDone) continue;
+    if (task.phase == TaskPhase::kIdle &&
+        task.waiting_since == MonotonicTime{}) {
+      task.waiting_since = task.since;
+    }
+    if (task.waiting_since == MonotonicTime{} || task.waiting_since >= now)
       continue;
-    step.next_wait_log_at = now + kLogWaitInterval;
-    Decision decision;
-    decision.kind = Decision::Kind::kWaiting;
-    decision.task = {job.record.spec.id, occurrence, step_index, i};
-    decision.run = task.run;
-    decision.age_ms = (now - task.since).count();
-    decision.reason = ReasonToWait(shard, now, job, spec, decision.task, task);
-    log.push_back(std::move(decision));
-    return;
+    if (out != nullptr && out->waiting_since <= task.waiting_since) continue;
+    out = &task;
+    index = i;
   }
+  return out;
+}
+
+void LogWaitingStep(ShardState& shard, MonotonicTime now, Duration proof_age,
+                    const JobEntity& job, uint32_t occurrence,
+                    uint32_t step_index, StepEntity& step, Decisions& log) {
+  const StepSpec& spec = job.record.spec.steps[step_index];
+  if (!step.ready || step.done == step.tasks.size()) return;
+  if (now < step.next_wait_log_at) return;
+  uint32_t index = 0;
+  const TaskEntity* const task = FindLongestWait(step, now, index);
+  if (task == nullptr) return;
+  const Duration waited = now - task->waiting_since;
+  if (waited < (spec.lasting ? kLogLastingTaskAfter : kLogTaskAfter)) return;
+  step.next_wait_log_at =
+      now + (spec.lasting ? kLogLastingTaskInterval : kLogTaskInterval);
+  Decision decision;
+  decision.kind = Decision::Kind::kWaiting;
+  decision.task = {job.record.spec.id, occurrence, step_index, index};
+  decision.vm = task->vm;
+  decision.run = task->run;
+  decision.age_ms = waited.count();
+  decision.reason =
+      DescribeOwnership(shard, proof_age) + DescribeRefusals(*task) +
+      (task->phase == TaskPhase::kPlaced
+           ? ReasonOfPlaced(shard, now, decision.task, *task)
+           : ReasonOfIdle(shard, now, job, spec, decision.task, *task));
+  log.push_back(std::move(decision));
 }
 
 }  // namespace
 
-void LogWaitingTasks(ShardState& shard, MonotonicTime now, Decisions& log) {
+void LogWaitingTasks(ShardState& shard, MonotonicTime now, Duration proof_age,
+                     Decisions& log) {
+  if (now < shard.next_wait_scan_at) return;
+  shard.next_wait_scan_at = now + kScanInterval;
+  const size_t lines_before = log.size();
   for (const JobId& id : shard.open_jobs) {
     JobEntity& job = shard.jobs.at(id);
     if (!job.accepted) continue;
     for (auto& [number, occurrence] : job.occurrences) {
       for (uint32_t i = 0; i < occurrence.steps.size(); ++i) {
-        LogWaitingStep(shard, now, job, number, i, occurrence.steps[i], log);
+        LogWaitingStep(shard, now, proof_age, job, number, i,
+                       occurrence.steps[i], log);
+        if (log.size() - lines_before >= kMaxLinesPerScan) return;
       }
     }
   }
