--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -103,7 +103,7 @@
 
 
 async def crash_later(fleet, rng):
-    """Executors crash a while after a burst of starts, as an outage does."""
+    """An executor crashes, and again soon after its return."""
     executor = rng.choice(fleet.executors)
     await fleet.crash(executor, rng.uniform(0.5, 4))
     await asyncio.sleep(rng.uniform(0.5, 2))
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -6,7 +6,7 @@
 
 import harness
 from harness import SERVICE, NotReady, Record, call, now_ms
-from rules import Judge
+from rules import CALM_MS, Judge
 from standins import SoakExecutor, SoakProgram, SoakStore
 
 READY_S = 20
@@ -15,6 +15,7 @@
 # A delay of the stand-ins' own loop over this counts as an impairment of all.
 LAG_MS = 300
 LAG_STEP_S = 0.1
+CHECK_STEP_S = 0.2
 
 
 class Entry(SoakProgram):
@@ -46,9 +47,10 @@
         self.durations = {}
         self.fail_share = 0.05
         self.traffic = True
-        self.checking = True
         self.config = {}
         self.worst_lag_ms = 0
+        # How long the rules that hold in calm times were judged.
+        self.calm_s = 0.0
         self.background = []
 
     # What the executors and the judge ask.
@@ -274,10 +276,11 @@
 
     async def check(self):
         while True:
-            await asyncio.sleep(0.2)
-            if self.checking:
-                self.history.check_lasting()
-                self.history.check_cancelled()
+            await asyncio.sleep(CHECK_STEP_S)
+            if self.history.calm.quiet_ms(now_ms()) >= CALM_MS:
+                self.calm_s += CHECK_STEP_S
+            self.history.check_lasting()
+            self.history.check_cancelled()
             for it in self.programs():
                 if it.child.poll() is not None and not getattr(
                         it, "expected_end", False):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -81,7 +81,7 @@
     print(f"{options.site} seed {options.seed}: {verdict}; {len(jobs)} jobs, "
           f"{accepted} accepted, {ended[0]} completed, {ended[1]} failed, "
           f"{ended[2]} cancelled, {len(judge.starts)} starts, "
-          f"lag {fleet.worst_lag_ms:.0f} ms")
+          f"calm {fleet.calm_s:.0f} s, lag {fleet.worst_lag_ms:.0f} ms")
     for rule, text in judge.broken[:5]:
         print(f"  {rule}: {text}")
     fleet.record.add("verdict", result=verdict)
