--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -30,6 +30,11 @@
 /// Exceeds the differences in free CPU, so that a VM that refuses starts is not
 /// chosen each time.
 constexpr double kLastVmPenalty = 1.5;
+/// Exceeds all other differences between VMs: tasks that are not started lose
+/// more than by any other choice.
+constexpr double kUnreliableVmPenalty = 32;
+/// An agent that is reachable reports more often than this.
+constexpr Duration kMaxReportAge{700};
 constexpr double kUnsuitable = std::numeric_limits<double>::lowest();
 /// Run numbers available to one task within one planner epoch.
 constexpr uint64_t kRunsPerEpoch = 1'000;
@@ -53,6 +58,8 @@
   bool busy_with_suspect = false;
   /// Only suspects may start here.
   bool reserved_for_suspects = false;
+  /// Starts are likely not to be carried out here.
+  bool unreliable = false;
   /// See LossOnCrash; empty until it is needed.
   std::optional<int64_t> loss_on_crash;
 };
@@ -97,6 +104,13 @@
          !vm.worker.draining;
 }
 
+/// @return true if the VM did not carry out its last start, or if its agent is
+/// late with its report. Such a VM has more room than others, since nothing
+/// starts there.
+bool IsUnreliable(const VmEntity& vm, MonotonicTime now) {
+  return vm.avoided_until > now || now - vm.last_report_at > kMaxReportAge;
+}
+
 /// @return the services of which most VMs are set aside. Their failures are due
 /// to the tasks, and no other VM would do better.
 std::set<ServiceId> ListServicesMostlySetAside(const ShardState& shard,
@@ -129,6 +143,7 @@
     candidate.testing_suspect = tests.vms.contains(id);
     candidate.busy_with_suspect = tests.busy.contains(id);
     candidate.reserved_for_suspects = vm.reserved_for_suspects_until > now;
+    candidate.unreliable = IsUnreliable(vm, now);
     for (const auto& [task, run] : vm.runs) {
       Resources size = run.size;
       if (run.filler) {
@@ -262,6 +277,7 @@
   }
   if (!candidate.vm->failing_jobs.empty()) score -= 4;
   if (candidate.vm->id == task.last_vm) score -= kLastVmPenalty;
+  if (candidate.unreliable) score -= kUnreliableVmPenalty;
   if (!step.data_rack.empty() &&
       candidate.vm->worker.rack.value != step.data_rack) {
     score -= 2;
@@ -463,6 +479,39 @@
   }
 }
 
+/// Chooses a VM for each task of a gang and reserves the capacity.
+/// @param rack the rack to use if the gang must be on one.
+/// @return nothing if not all tasks find a VM.
+std::vector<CandidateVm*> ChooseVmsOfGang(
+    const ShardState& shard, const ReadyStep& ready_step, const RackId& rack,
+    bool reliable_only, std::vector<CandidateVm>& candidates) {
+  const StepSpec& spec = ready_step.job->record.spec.steps[ready_step.step];
+  TaskKey key{ready_step.job->record.spec.id, ready_step.occurrence,
+              ready_step.step, 0};
+  std::vector<CandidateVm*> chosen;
+  for (; key.index < spec.count; ++key.index) {
+    CandidateVm* best = nullptr;
+    for (CandidateVm& candidate : candidates) {
+      if (candidate.unreliable && reliable_only) continue;
+      if (!IsOpenToInnocent(candidate)) continue;
+      if (spec.one_rack && candidate.vm->worker.rack != rack) continue;
+      if (!HasRoom(candidate, ready_step.job->terms, spec)) continue;
+      if (!IsOpenToTask(candidate, spec, key)) continue;
+      const auto placed_here =
+          std::count(chosen.begin(), chosen.end(), &candidate);
+      if (spec.max_per_vm != 0 && placed_here >= spec.max_per_vm) continue;
+      if (best == nullptr || candidate.idle_cpu > best->idle_cpu)
+        best = &candidate;
+    }
+    if (best == nullptr) break;
+    Reserve(shard, *best, spec);
+    chosen.push_back(best);
+  }
+  if (chosen.size() == spec.count) return chosen;
+  for (CandidateVm* candidate : chosen) Release(*candidate, spec);
+  return {};
+}
+
 /// Places all tasks of a gang, or none.
 void PlaceGang(ShardState& shard, MonotonicTime now,
                const ReadyStep& ready_step,
@@ -483,37 +532,20 @@
   for (const CandidateVm& candidate : candidates) {
     racks.insert(spec.one_rack ? candidate.vm->worker.rack : RackId());
   }
-  for (const RackId& rack : racks) {
-    std::vector<CandidateVm*> chosen;
-    for (key.index = 0; key.index < step.tasks.size(); ++key.index) {
-      CandidateVm* best = nullptr;
-      for (CandidateVm& candidate : candidates) {
-        if (!IsOpenToInnocent(candidate)) continue;
-        if (spec.one_rack && candidate.vm->worker.rack != rack) continue;
-        if (!HasRoom(candidate, ready_step.job->terms, spec)) continue;
-        if (!IsOpenToTask(candidate, spec, key)) continue;
-        const auto placed_here =
-            std::count(chosen.begin(), chosen.end(), &candidate);
-        if (spec.max_per_vm != 0 && placed_here >= spec.max_per_vm) continue;
-        if (best == nullptr || candidate.idle_cpu > best->idle_cpu)
-          best = &candidate;
+  for (const bool reliable_only : {true, false}) {
+    for (const RackId& rack : racks) {
+      const std::vector<CandidateVm*> chosen =
+          ChooseVmsOfGang(shard, ready_step, rack, reliable_only, candidates);
+      if (chosen.empty()) continue;
+      number = NextRunNumber(shard, number);
+      for (key.index = 0; key.index < chosen.size(); ++key.index) {
+        TaskEntity& task = step.tasks[key.index];
+        task.checkpoint = checkpoint;
+        AssignTask(shard, now, *chosen[key.index]->vm, spec, key, task, number,
+                   log);
       }
-      if (best == nullptr) break;
-      Reserve(shard, *best, spec);
-      chosen.push_back(best);
-    }
-    if (chosen.size() < step.tasks.size()) {
-      for (CandidateVm* candidate : chosen) Release(*candidate, spec);
-      continue;
-    }
-    number = NextRunNumber(shard, number);
-    for (key.index = 0; key.index < chosen.size(); ++key.index) {
-      TaskEntity& task = step.tasks[key.index];
-      task.checkpoint = checkpoint;
-      AssignTask(shard, now, *chosen[key.index]->vm, spec, key, task, number,
-                 log);
+      return;
     }
-    return;
   }
 }
 
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -19,6 +19,9 @@
 constexpr size_t kFailingJobsThreshold = 3;
 /// How long such a VM receives no tasks.
 constexpr Duration kSetAsideTime{4'000};
+/// How long tasks go to other VMs after a start that a VM did not carry out,
+/// unless it carries out one meanwhile.
+constexpr Duration kAvoidAfterRefusedStart{4'000};
 /// Delay before a lasting task that failed is restarted.
 constexpr Duration kLastingRestartDelay{50};
 
@@ -130,6 +133,7 @@
       return ProcessFailure(shard, now, job, key, task, end.run, vm, log);
     case RunEnd::kNotStarted:
       DelayPlacement(task, now + kRefusedStartDelay);
+      vm.avoided_until = now + kAvoidAfterRefusedStart;
       ++task.refused_starts;
       task.last_refusal = end.reason;
       break;
@@ -214,7 +218,10 @@
   run.seen = true;
   const bool started_running =
       run.phase == RunPhase::kStarting && report.phase == RunPhase::kRunning;
-  if (started_running) run.running_since = now;
+  if (started_running) {
+    run.running_since = now;
+    vm.avoided_until = {};
+  }
   run.phase = report.phase;
   run.percent = report.percent;
   run.measurement = report.measurement;
@@ -311,6 +318,7 @@
   if (vm.worker.id != worker.id) {
     vm.failing_jobs.clear();
     vm.set_aside_until = {};
+    vm.avoided_until = {};
   }
   if (worker.draining && !vm.worker.draining) {
     vm.shutdown_at = now + Duration(worker.remaining_ms);
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -189,6 +189,9 @@
   /// Jobs with a failed run on this VM since the last successful run.
   std::set<JobId> failing_jobs;
   MonotonicTime set_aside_until{};
+  /// A start was not carried out; until then, tasks go to other VMs that have
+  /// room.
+  MonotonicTime avoided_until{};
   /// Until then, only tasks suspected of having crashed the VM's worker are
   /// placed here: nothing is lost if they crash it again.
   MonotonicTime reserved_for_suspects_until{};
