--- a/tests/wire/wire_test.cc
+++ b/tests/wire/wire_test.cc
@@ -1,10 +1,15 @@
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
 #include <map>
+#include <string>
+#include <thread>
 
 #include "wire/http_client.h"
 #include "wire/http_server.h"
@@ -196,6 +201,166 @@
   });
 }
 
+/// When a server closes a connection on which it has answered a request.
+enum class CloseTime : uint8_t {
+  kWhileIdle,
+  /// As the next request arrives, without reading it.
+  kBeforeReading,
+  /// After the next request was read, without answering it.
+  kBeforeAnswering,
+};
+
+/// Promises to keep its connections, answers the first request of the first one
+/// and then closes that one. Answers one request on each further one.
+class ClosingServer {
+ public:
+  explicit ClosingServer(CloseTime close_time)
+      : listener_(socket(AF_INET, SOCK_STREAM, 0)), close_time_(close_time) {
+    sockaddr_in sin{};
+    sin.sin_family = AF_INET;
+    sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&sin), sizeof sin) ==
+            0);
+    socklen_t n = sizeof sin;
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&sin), &n);
+    address_ = {"127.0.0.1", ntohs(sin.sin_port)};
+    REQUIRE(listen(listener_, 8) == 0);
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~ClosingServer() {
+    shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    close(listener_);
+  }
+  ClosingServer(const ClosingServer&) = delete;
+  ClosingServer& operator=(const ClosingServer&) = delete;
+
+  const Address& address() const { return address_; }
+  int connections() const { return connections_; }
+  int requests_read() const { return requests_read_; }
+
+ private:
+  bool ReadRequest(int fd) {
+    std::array<char, 4096> buf{};
+    if (read(fd, buf.data(), buf.size()) <= 0) return false;
+    ++requests_read_;
+    return true;
+  }
+
+  static void AnswerRequest(int fd) {
+    const std::string text = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    REQUIRE(write(fd, text.data(), text.size()) ==
+            static_cast<ssize_t>(text.size()));
+  }
+
+  void ServeFirst(int fd) {
+    if (ReadRequest(fd)) AnswerRequest(fd);
+    if (close_time_ != CloseTime::kWhileIdle) {
+      pollfd it{fd, POLLIN, 0};
+      poll(&it, 1, -1);
+    }
+    if (close_time_ == CloseTime::kBeforeAnswering) ReadRequest(fd);
+    // Closing with unread bytes resets the connection.
+    close(fd);
+  }
+
+  void Serve() {
+    for (int fd = 0; (fd = accept(listener_, nullptr, nullptr)) >= 0;) {
+      if (++connections_ == 1) {
+        ServeFirst(fd);
+        continue;
+      }
+      if (ReadRequest(fd)) AnswerRequest(fd);
+      close(fd);
+    }
+  }
+
+  int listener_;
+  CloseTime close_time_;
+  Address address_;
+  std::atomic<int> connections_{0};
+  std::atomic<int> requests_read_{0};
+  std::thread thread_;
+};
+
+/// Result of a second call on a connection that its server has closed.
+struct SecondCall {
+  bool answered = false;
+  CallStatus end;
+  int connections = 0;
+  int requests_read = 0;
+};
+
+SecondCall CallTwice(CloseTime close_time) {
+  constexpr Duration kPause{50};
+  SecondCall out;
+  EventLoop loop;
+  HttpClient client(loop, kTimeout);
+  ClosingServer server(close_time);
+  const auto call = [&](const HttpResponseCallback& fn) {
+    client.Start(server.address(), {"POST", "/", {}, "body"}, true, kTimeout,
+                 CollectResponse(1 << 20, fn));
+  };
+  call([&](const auto& first, CallStatus) {
+    CHECK(first);
+    loop.RunAfter(kPause, [&] {
+      call([&](const auto& second, CallStatus end) {
+        out.answered = second.has_value();
+        out.end = end;
+        loop.RunAfter(kPause, [&] { loop.Stop(); });
+      });
+    });
+  });
+  loop.Run();
+  out.connections = server.connections();
+  out.requests_read = server.requests_read();
+  return out;
+}
+
+TEST_CASE("a call finds that its kept connection was closed while idle") {
+  const SecondCall call = CallTwice(CloseTime::kWhileIdle);
+  CHECK(call.answered);
+  CHECK(call.connections == 2);
+  CHECK(call.requests_read == 2);
+}
+
+TEST_CASE("a call on a connection that closes meanwhile is not sent again") {
+  SecondCall call;
+  int read = 0;
+  SUBCASE("closed before the request was read") {
+    call = CallTwice(CloseTime::kBeforeReading);
+    read = 1;
+  }
+  SUBCASE("closed after the request was read") {
+    call = CallTwice(CloseTime::kBeforeAnswering);
+    read = 2;
+  }
+  CHECK_FALSE(call.answered);
+  CHECK(call.end.error == WireError::kLinkLost);
+  CHECK(call.end.sent == SendStatus::kMaybe);
+  CHECK(call.connections == 1);
+  CHECK(call.requests_read == read);
+}
+
+TEST_CASE("a call that times out does not harm another one in progress") {
+  WireFixture fixture;
+  constexpr Duration kShort{20};
+  fixture.Run(2, [&] {
+    const auto start = [&](const char* path, Duration timeout, const auto& fn) {
+      fixture.client.Start(fixture.address, {"GET", path, {}, ""}, true,
+                           timeout, fixture.Collect(fn));
+    };
+    start("/silent", kShort, [](const auto& response, CallStatus end) {
+      CHECK_FALSE(response);
+      CHECK(end.error == WireError::kTimeout);
+    });
+    start("/late", kTimeout, [](const auto& response, CallStatus) {
+      REQUIRE(response);
+      CHECK(response->body == "late");
+    });
+  });
+}
+
 TEST_CASE("timers run in order and can be cancelled") {
   EventLoop loop;
   std::string order;
