Ask the worker before following another one that was announced

Cause: ApplyWorkerHello took any announcement of another id, or of a later start time, for the replacement of the worker and ended all its runs. Class: an unauthenticated message taken for proof. A heartbeat of a crashed worker that arrives late, with a start time set ahead, acts in the same way.

Fix: ReceiveWorkerHello. While the present worker has answered, and no other one since, an announcement of another process is kept, and the worker is asked at once by a renewal for its own id. Only the answer decides: a list of the same process drops the announcement; 421 or a list with another start time replaces the worker, and the announcement kept gives its capacity. No answer proves nothing: leases lapse as before. A real replacement costs one more call within the VM. New event 9308 worker.unproven.

A worker that was never confirmed is still replaced by any announcement; it has no runs then.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -143,17 +143,27 @@
   }
 }
 
+void Agent::LogWorker() const {
+  Log(Event::kWorkerHeard,
+      {{"worker", table_.worker.id.value},
+       {"born_ms", table_.worker_born_ms},
+       {"cpu_milli", table_.worker.capacity.cpu.value},
+       {"memory_mb", table_.worker.capacity.memory.value}});
+}
+
 void Agent::HandleWorkerHello(const WorkerHello& hello) {
   const bool was_draining = table_.worker.draining;
-  const bool is_new_worker = ApplyWorkerHello(table_, loop_.now(), hello);
+  const bool was_unproven = table_.unproven_hello.has_value();
+  const bool is_new_worker = ReceiveWorkerHello(table_, loop_.now(), hello);
   if (is_new_worker) {
     ++renewal_generation_;
     renewal_in_flight_ = false;
-    Log(Event::kWorkerHeard,
-        {{"worker", hello.worker.id.value},
-         {"born_ms", hello.born_ms},
-         {"cpu_milli", hello.worker.capacity.cpu.value},
-         {"memory_mb", hello.worker.capacity.memory.value}});
+    LogWorker();
+  }
+  if (table_.unproven_hello && !was_unproven) {
+    Log(Event::kWorkerUnproven, {{"worker", hello.worker.id.value},
+                                 {"born_ms", hello.born_ms},
+                                 {"was", table_.worker.id.value}});
   }
   if (table_.worker.draining && !was_draining) {
     Log(Event::kWorkerDraining, {{"worker", hello.worker.id.value},
@@ -196,6 +206,7 @@
         if (generation != renewal_generation_) return;
         renewal_in_flight_ = false;
         const bool was_responsive = table_.worker.responsive;
+        const int64_t born_before_ms = table_.worker_born_ms;
         const MonotonicTime now = loop_.now();
         if (listing) {
           ApplyWorkerListing(table_, now, call, *listing);
@@ -206,6 +217,9 @@
           HandleRenewalFailure(table_, now, call, result);
           next_renewal_at_ = now + kRenewRetryDelay;
         }
+        const bool is_new_worker = table_.worker.id != call.call.worker ||
+                                   table_.worker_born_ms != born_before_ms;
+        if (is_new_worker) LogWorker();
         if (was_responsive != table_.worker.responsive) {
           Log(Event::kWorkerSilent,
               {{"worker", call.call.worker.value},
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -55,6 +55,7 @@
   bool HasWorker() const;
   void EnsureRowIsValid();
   void WriteAgentRow();
+  void LogWorker() const;
   void Tick();
   void ReportCallResult(const char* what, const TaskKey& task, RunNumber run,
                         const CallResult& result, const WorkerCall& call);
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -378,6 +378,18 @@
   table.renew_immediately = true;
 }
 
+bool IsOtherProcess(const RunTable& table, const WorkerHello& hello) {
+  return hello.worker.id != table.worker.id ||
+         (hello.born_ms != 0 && hello.born_ms != table.worker_born_ms);
+}
+
+/// Follows the process whose announcement was kept, since the worker is gone.
+/// @return false if there is none.
+bool FollowAnnouncedWorker(RunTable& table, MonotonicTime now) {
+  const auto hello = std::exchange(table.unproven_hello, std::nullopt);
+  return hello && ApplyWorkerHello(table, now, *hello);
+}
+
 }  // namespace
 
 bool ApplyWorkerHello(RunTable& table, MonotonicTime now,
@@ -388,9 +400,7 @@
       hello.born_ms < table.worker_born_ms) {
     return false;
   }
-  const bool is_new_worker =
-      hello.worker.id != table.worker.id ||
-      (hello.born_ms != 0 && hello.born_ms != table.worker_born_ms);
+  const bool is_new_worker = IsOtherProcess(table, hello);
   if (is_new_worker) {
     ReplaceWorker(table);
     table.worker_born_ms = hello.born_ms;
@@ -413,6 +423,17 @@
   return is_new_worker;
 }
 
+bool ReceiveWorkerHello(RunTable& table, MonotonicTime now,
+                        const WorkerHello& hello) {
+  const bool is_unproven =
+      table.worker_confirmed && IsOtherProcess(table, hello);
+  if (!is_unproven) return ApplyWorkerHello(table, now, hello);
+  table.unproven_hello = hello;
+  table.unproven_hello_at = now;
+  table.renew_immediately = true;
+  return false;
+}
+
 bool ApplySyncRequest(RunTable& table, MonotonicTime now,
                       const SyncRequest& request) {
   if (request.epoch < table.epoch) return false;
@@ -632,7 +653,12 @@
     table.worker_born_ms = listing.born_ms;
     table.worker_announced_at = now;
     ++table.version;
+    const auto& hello = table.unproven_hello;
+    const bool is_announced = hello && hello->worker.id == table.worker.id &&
+                              hello->born_ms == listing.born_ms;
+    if (is_announced) FollowAnnouncedWorker(table, now);
   }
+  if (call.sent_at >= table.unproven_hello_at) table.unproven_hello.reset();
   table.worker_confirmed = true;
   table.clock_known = true;
   table.clock_ms = listing.clock_ms;
@@ -665,8 +691,10 @@
   if (result.outcome == CallOutcome::kFenced) {
     return HandleFencedCall(table, call.call.fencing);
   }
-  if (result.outcome == CallOutcome::kWrongWorker)
+  if (result.outcome == CallOutcome::kWrongWorker) {
     table.worker_confirmed = false;
+    if (FollowAnnouncedWorker(table, now)) return;
+  }
   if (table.worker_failed_at == MonotonicTime{}) table.worker_failed_at = now;
   SetResponsive(table, false);
 }
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -102,6 +102,10 @@
   /// The present worker process has answered a call, and no other one has
   /// answered since.
   bool worker_confirmed = false;
+  /// Announcement of another process than `worker`, kept until the worker has
+  /// been asked, and when it came.
+  std::optional<WorkerHello> unproven_hello;
+  MonotonicTime unproven_hello_at{};
   /// Highest number of an announcement of this worker process.
   uint64_t worker_sequence = 0;
   /// The worker's clock showed at least `clock_ms` at `clock_at` on our clock.
@@ -142,6 +146,14 @@
 bool ApplyWorkerHello(RunTable& table, MonotonicTime now,
                       const WorkerHello& hello);
 
+/// Handles an announcement whose sender is not known. One that names another
+/// process than the worker that has answered so far is kept until that worker
+/// has been asked: anyone can send an announcement, but only the worker answers
+/// calls.
+/// @return true if the worker was replaced or restarted.
+bool ReceiveWorkerHello(RunTable& table, MonotonicTime now,
+                        const WorkerHello& hello);
+
 /// Applies a planner's request: leases, orders and recorded ends.
 /// @return false if the request came from a planner that has been replaced.
 bool ApplySyncRequest(RunTable& table, MonotonicTime now,
@@ -202,6 +214,8 @@
 /// Applies the worker's answer to a renewal: its lists of runs and ends.
 void ApplyWorkerListing(RunTable& table, MonotonicTime now,
                         const RenewCall& call, const WorkerListing& listing);
+/// Follows an announced worker if the result shows that the present one is
+/// gone.
 void HandleRenewalFailure(RunTable& table, MonotonicTime now,
                           const RenewCall& call, const CallResult& result);
 
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -310,6 +310,9 @@
        "the first order from a planner with a new epoch was received"},
       {Event::kAgentListed, "agent.listed", kMembership, kInfo,
        "this agent wrote its row"},
+      {Event::kWorkerUnproven, "worker.unproven", kMembership, kWarning,
+       "another worker was announced; it is followed only if the present one "
+       "no longer answers in its place"},
       {Event::kSettingsReloaded, "settings.reloaded", kProcess, kInfo,
        "the settings were reloaded, with what changed"},
   };
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -106,6 +106,7 @@
   kWorkerCallFailed = 9305,
   kPlannerHeard = 9306,
   kAgentListed = 9307,
+  kWorkerUnproven = 9308,
   kSettingsReloaded = 9401,
 };
 
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -282,6 +282,83 @@
   CHECK(BeginStartCalls(table, now).size() == 1);
 }
 
+// Regression test: a malformed report that named another worker ended all runs
+// of the present one, and they were started elsewhere while they still ran.
+TEST_CASE("a report of another worker does not replace one that answers") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  MonotonicTime now = kNow + Duration(100);
+  const WorkerHello other = Hello("other", 0);
+  const WorkerHello reborn = Hello("w", 200);
+  for (const WorkerHello& hello : {other, reborn}) {
+    CHECK_FALSE(ReceiveWorkerHello(table, now, hello));
+    const auto renewal = BeginRenewal(table, now);
+    REQUIRE(renewal);
+    CHECK(renewal->wait == Duration(0));
+    CHECK(renewal->call.worker == WorkerId("w"));
+    WorkerListing listing = Listing();
+    listing.running = {{kTask, RunNumber(1), "", 100, -1}};
+    ApplyWorkerListing(table, now, *renewal, listing);
+    CHECK(table.worker.id == WorkerId("w"));
+    CHECK(table.worker_born_ms == 100);
+    CHECK(table.runs.contains(kTask));
+    CHECK(Ends(table).empty());
+    now += Duration(100);
+  }
+  const auto renewal = BeginRenewal(table, now);
+  HandleRenewalFailure(table, now, *renewal,
+                       {CallOutcome::kWrongWorker, "421"});
+  CHECK(table.runs.contains(kTask));
+}
+
+// Regression test: see above; a worker that has gone must still be replaced at
+// once.
+TEST_CASE("a worker is replaced once another one answers in its place") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  const MonotonicTime now = kNow + Duration(100);
+  SUBCASE("under another id") {
+    CHECK_FALSE(ReceiveWorkerHello(table, now, Hello("new", 200)));
+    HandleRenewalFailure(table, now, *BeginRenewal(table, now),
+                         {CallOutcome::kWrongWorker, "421"});
+    CHECK(table.worker.id == WorkerId("new"));
+  }
+  SUBCASE("under its id") {
+    CHECK_FALSE(ReceiveWorkerHello(table, now, Hello("w", 200)));
+    Renew(table, now, 200);
+    CHECK(table.worker.id == WorkerId("w"));
+  }
+  SUBCASE("which reports only afterwards") {
+    HandleRenewalFailure(table, now, *BeginRenewal(table, now),
+                         {CallOutcome::kWrongWorker, "421"});
+    CHECK(ReceiveWorkerHello(table, now, Hello("new", 200)));
+  }
+  CHECK(table.worker_born_ms == 200);
+  CHECK(table.worker.capacity.cpu == MilliCpu(4'000));
+  CHECK(table.runs.empty());
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].end == RunEnd::kWorkerLost);
+  CHECK(BeginRenewal(table, now)->wait == Duration(0));
+}
+
+// Regression test: see above; no call that gets no answer is a proof.
+TEST_CASE("a worker that does not answer is not replaced by a report") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  const MonotonicTime now = kNow + Duration(100);
+  CHECK_FALSE(ReceiveWorkerHello(table, now, Hello("other", 200)));
+  for (const CallOutcome outcome :
+       {CallOutcome::kUnknown, CallOutcome::kRejected, CallOutcome::kFenced}) {
+    HandleRenewalFailure(table, now, *BeginRenewal(table, now),
+                         {outcome, "no lists"});
+  }
+  CHECK(table.worker.id == WorkerId("w"));
+  CHECK(table.runs.contains(kTask));
+}
+
 // Regression test: a worker whose clock had been set back before it started
 // again was ignored for good.
 TEST_CASE("a worker that started again at an earlier time of day is followed") {
