--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -315,6 +315,9 @@
       {Event::kStartSettled, "start.settled", kMembership, kInfo,
        "the outcome of a start without an answer has become known; age is the "
        "time since the call was sent"},
+      {Event::kWorkerUnproven, "worker.unproven", kMembership, kWarning,
+       "another worker was announced; it is followed only if the present one "
+       "no longer answers in its place"},
       {Event::kSettingsReloaded, "settings.reloaded", kProcess, kInfo,
        "the settings were reloaded, with what changed"},
   };
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -107,6 +107,7 @@
   kPlannerHeard = 9306,
   kAgentListed = 9307,
   kStartSettled = 9308,
+  kWorkerUnproven = 9309,
   kSettingsReloaded = 9401,
 };
 
