Settle starts in flight to a worker that starts again under its id

A worker crashes and is back under the same id before its agent knows, for example while the agent was stopped by its host; a start sent in that moment names the id of the present process, which carries it out. When the agent then reads the list of the new process, it reported that start as lost with the former one, and the planner started the task elsewhere while it ran.

Cause: EndRunsOfFormerWorker ended every start whose call had been sent. Class: the loss of a peer taken for proof of what happened to a call to it (PROTOCOL: an executor may start again under the id that it had).

Fix: when a list shows the new process, starts whose call is still in flight are kept, and the fencing number is raised: the answer, or the next list under the higher number, decides. A replacement under another id is as before, since calls name the id.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -75,11 +75,20 @@
          !run.start_unanswered;
 }
 
+/// A start call names the worker by its id, so that a process that starts again
+/// under that id carries out calls that are on their way.
+bool IsStartInFlight(const AgentRun& run) {
+  return run.phase == RunPhase::kStarting && run.call_in_flight;
+}
+
 /// Ends the runs of a worker that was replaced.
-void EndRunsOfFormerWorker(RunTable& table) {
+/// @param keep_starts_in_flight the new process has the id of the former one;
+/// starts in flight are settled by their answer or by a later listing.
+void EndRunsOfFormerWorker(RunTable& table, bool keep_starts_in_flight) {
   constexpr const char* kReason = "the worker was replaced";
   std::vector<LapsedRun> on_worker = std::exchange(table.lapsed, {});
   for (auto& [task, run] : table.runs) {
+    if (keep_starts_in_flight && IsStartInFlight(run)) continue;
     if (AwaitsStartCall(run)) {
       AddEnd(table, task, run.order.run, RunEnd::kNotStarted, run.checkpoint,
              kReason);
@@ -89,7 +98,9 @@
                          std::move(run.checkpoint),
                          run.phase != RunPhase::kStarting});
   }
-  table.runs.clear();
+  std::erase_if(table.runs, [&](const auto& it) {
+    return !keep_starts_in_flight || !IsStartInFlight(it.second);
+  });
   MonotonicTime last_start{};
   for (const LapsedRun& run : on_worker) {
     last_start = std::max(last_start, run.start_sent_at);
@@ -382,8 +393,11 @@
   if (table.complete_version == 0) table.complete_version = ++table.version;
 }
 
-void ReplaceWorker(RunTable& table) {
-  EndRunsOfFormerWorker(table);
+/// @param keep_starts_in_flight see EndRunsOfFormerWorker.
+void ReplaceWorker(RunTable& table, bool keep_starts_in_flight) {
+  EndRunsOfFormerWorker(table, keep_starts_in_flight);
+  // Starts in flight that have not arrived by the next listing are void.
+  if (!table.runs.empty()) ++table.fencing;
   for (UnrecordedEnd& end : table.ends) end.worker_number = 0;
   table.worker_end_seen = 0;
   table.worker_end_recorded = 0;
@@ -423,7 +437,7 @@
   }
   const bool is_new_worker = IsOtherProcess(table, hello);
   if (is_new_worker) {
-    ReplaceWorker(table);
+    ReplaceWorker(table, false);
     table.worker_born_ms = hello.born_ms;
     table.worker_announced_at = now;
   }
@@ -670,7 +684,7 @@
                            call.sent_at < table.worker_announced_at;
     if (is_former) return;
     // The process that answers is the worker, whatever was announced.
-    ReplaceWorker(table);
+    ReplaceWorker(table, true);
     table.worker_born_ms = listing.born_ms;
     table.worker_announced_at = now;
     ++table.version;
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -545,6 +545,33 @@
   CHECK(BeginStartCalls(table, kNow).size() == 1);
 }
 
+// Regression test: the start was reported as lost with the former process,
+// although the worker, which has the same id, carried it out.
+TEST_CASE("a start on its way to a restarted worker is not given up") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  const auto calls = BeginStartCalls(table, kNow);
+  REQUIRE(calls.size() == 1);
+  const MonotonicTime now = kNow + Duration(10);
+  ApplyWorkerListing(table, now, *BeginRenewal(table, now), Listing(10, 200));
+  CHECK(Ends(table).empty());
+  SUBCASE("it is carried out") {
+    FinishStartCall(table, now, calls[0], {});
+    REQUIRE(table.runs.contains(kTask));
+    CHECK(table.runs.at(kTask).phase == RunPhase::kRunning);
+    CHECK(Ends(table).empty());
+  }
+  SUBCASE("it goes unanswered and does not arrive") {
+    FinishStartCall(table, now, calls[0], {CallOutcome::kUnknown, "lost"});
+    const auto renewal = BeginRenewal(table, now);
+    CHECK(renewal->call.fencing > calls[0].call.fencing);
+    ApplyWorkerListing(table, now, *renewal, Listing(20, 200));
+    CHECK(table.runs.empty());
+    REQUIRE(Ends(table).size() == 1);
+    CHECK(Ends(table)[0].end == RunEnd::kNotStarted);
+  }
+}
+
 // A task that crashes the worker at once leaves its start call unanswered; such
 // runs were reported as not started and counted nowhere.
 TEST_CASE("a run whose start call was cut off by a crash is a suspect") {
