--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -198,8 +198,19 @@
         self.unanswered = None
         self.unanswered_share = 0
         self.retired = False
+        self.starting = False
         self.fates = {}
 
+    async def start(self):
+        """Starts a new life, unless one has begun or is beginning."""
+        if self.up or self.starting:
+            return
+        self.starting = True
+        try:
+            await super().start()
+        finally:
+            self.starting = False
+
     def clock(self):
         return int((now_ms() - self.began) * self.clock_rate) + 1000
 
