--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -251,8 +251,9 @@
 
 
 FAULT_WEIGHTS = {
-    one_program: 3, planner: 3, series: 3, crash: 3, crash_later: 2, replace: 1, power: 2,
-    leave: 2, slow: 1, unanswered: 4, cut: 2, grey: 1, idle_close: 1,
+    one_program: 3, planner: 3, series: 3, crash: 3, crash_later: 2,
+    replace: 1, power: 2, leave: 2, slow: 1, unanswered: 4, cut: 2, grey: 1,
+    idle_close: 1,
     store_away: 3, store_slow: 1, store_loses: 2, store_forgets: 1,
     configure: 1,
 }
