Take the start time of a worker from its lists if it was announced without

If the first announcement that an agent hears has the worker's id and no start time, each later one counts as that of another process and is dropped, for good: neither draining nor capacity is heard.

Cause: a list confirmed the worker without its start time being kept. Class: two records of one identity, of which one is never completed.

Fix: the start time in a list is kept if none is known.

Test before the fix, agent_test "a worker announced without a start time is followed later": run_table_test.cc:646: ERROR: CHECK( table.worker.draining ) is NOT correct!

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -678,8 +678,8 @@
                         const RenewCall& call, const WorkerListing& listing) {
   RecordLeaseResult(table, call.lease_until, CallOutcome::kOk);
   if (call.call.worker != table.worker.id) return;
-  if (listing.born_ms != 0 && table.worker_born_ms != 0 &&
-      listing.born_ms != table.worker_born_ms) {
+  if (table.worker_born_ms == 0) table.worker_born_ms = listing.born_ms;
+  if (listing.born_ms != 0 && listing.born_ms != table.worker_born_ms) {
     const bool is_former = listing.born_ms < table.worker_born_ms &&
                            call.sent_at < table.worker_announced_at;
     if (is_former) return;
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -572,6 +572,21 @@
   }
 }
 
+// Regression test: a worker whose first announcement had no start time was
+// never followed, as each later one counted as that of another process.
+TEST_CASE("a worker announced without a start time is followed later") {
+  RunTable table;
+  table.life = AgentIncarnation(7);
+  table.started_at = kNow;
+  ReceiveWorkerHello(table, kNow, Hello("w", 0));
+  ApplySyncRequest(table, kNow, Request(table));
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), Listing());
+  WorkerHello hello = Hello();
+  hello.worker.draining = true;
+  ReceiveWorkerHello(table, kNow, hello);
+  CHECK(table.worker.draining);
+}
+
 // A task that crashes the worker at once leaves its start call unanswered; such
 // runs were reported as not started and counted nowhere.
 TEST_CASE("a run whose start call was cut off by a crash is a suspect") {
