Send no lease and no cursor to a worker that may have started again

A worker crashes and is back under its id. The next renewal carried a lease on the clock of the former process, which the new one cuts to its maximum of 10 s, while agent and planner count on 5.35 s; and it acknowledged the former process's ends, so that the new one forgot ends that nobody had read, and their tasks ran again.

Cause: state of one process used in a call to another. Class: an identity that is checked after it has been relied on.

Fix: while another process is announced, or after a call that did not reach the worker, a renewal carries neither; its answer tells which process it is. A worker that only answers late goes on receiving leases.

Test before the fix, agent_test "a worker that may have started again gets no lease and no cursor": run_table_test.cc:624: ERROR: CHECK( renewal->call.lease_until_ms == 0 ) run_table_test.cc:625: ERROR: CHECK( renewal->recorded == 0 )

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -660,14 +660,20 @@
   // The worker would reject a renewal without a planner's fencing number.
   if (table.worker.id.empty() || table.fencing == 0) return std::nullopt;
   RenewCall out;
+  // A process that has started again under the same id has another clock, and
+  // counts its ends anew.
+  const bool is_same_process =
+      !table.worker_unreachable && !table.unproven_hello.has_value();
+  const bool has_lease = table.clock_known && is_same_process;
   out.call = MakeCall(table, table.lease_until);
-  out.recorded = table.worker_end_recorded;
+  if (!has_lease) out.call.lease_until_ms = 0;
+  out.recorded = is_same_process ? table.worker_end_recorded : 0;
   out.sent_at = now;
   const bool immediately =
       table.renew_immediately || !table.clock_known || !table.worker.responsive;
   out.wait = immediately ? Duration(0) : kRenewalWait;
   table.renew_immediately = false;
-  if (table.clock_known) {
+  if (has_lease) {
     out.lease_until = table.lease_until;
     table.leases_in_flight.insert(out.lease_until);
   }
@@ -695,6 +701,7 @@
   }
   if (call.sent_at >= table.unproven_hello_at) table.unproven_hello.reset();
   table.worker_confirmed = true;
+  table.worker_unreachable = false;
   table.clock_known = true;
   table.clock_ms = listing.clock_ms;
   table.clock_at = now;
@@ -723,6 +730,7 @@
   RecordLeaseResult(table, call.lease_until,
                     reached ? result.outcome : CallOutcome::kWrongWorker);
   if (call.call.worker != table.worker.id) return;
+  if (!reached) table.worker_unreachable = true;
   if (result.outcome == CallOutcome::kFenced) {
     return HandleFencedCall(table, call.call.fencing);
   }
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -115,6 +115,9 @@
   /// The present worker process has answered a call, and no other one has
   /// answered since.
   bool worker_confirmed = false;
+  /// A call has not reached the worker since it last answered, so that it may
+  /// have started again.
+  bool worker_unreachable = false;
   /// Announcement of another process than `worker`, kept until the worker has
   /// been asked, and when it came.
   std::optional<WorkerHello> unproven_hello;
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -572,6 +572,29 @@
   }
 }
 
+// Regression test: a worker that had started again under its id was given a
+// lease on the clock of its former process, and told to forget ends that nobody
+// had read.
+TEST_CASE("a worker that may have started again gets no lease and no cursor") {
+  RunTable table = Ready();
+  table.worker_end_recorded = 57;
+  const MonotonicTime now = kNow + Duration(10);
+  SUBCASE("it was announced") {
+    ReceiveWorkerHello(table, now, Hello("w", 200));
+  }
+  SUBCASE("a call did not reach it") {
+    HandleRenewalFailure(table, now, *BeginRenewal(table, now),
+                         {CallOutcome::kRejected, "connect"});
+  }
+  const auto renewal = BeginRenewal(table, now);
+  CHECK(renewal->call.lease_until_ms == 0);
+  CHECK(renewal->recorded == 0);
+  ApplyWorkerListing(table, now, *renewal, Listing());
+  const auto next = BeginRenewal(table, now);
+  CHECK(next->call.lease_until_ms > 0);
+  CHECK(next->recorded == 57);
+}
+
 // Regression test: a worker whose first announcement had no start time was
 // never followed, as each later one counted as that of another process.
 TEST_CASE("a worker announced without a start time is followed later") {
