Keep all runs that a worker under the same id may have

A start whose call had timed out after the renewal was sent was reported as lost, although the new process could still carry it out; and a run that it had already done was reported as lost before its end, which was then ignored, so that the task ran again.

Fix: kept are starts in flight, unanswered starts under the number of the answered renewal or a higher one, and runs that the new process lists, also as ended.

Tests before the fix: run_table_test.cc:585: ERROR: CHECK( Ends(table).empty() ) ("an unanswered start to a restarted worker is not given up early") run_table_test.cc:605: FATAL ERROR: REQUIRE( Ends(table).size() == 1 ) ("a run that a restarted worker has done is not reported as lost") After: agent_test 55 of 55, planner_test 42 of 42.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -75,20 +75,42 @@
          !run.start_unanswered;
 }
 
+/// @return true if the worker lists the run, or has listed its end.
+bool IsListed(const WorkerListing& listing, const TaskKey& task,
+              RunNumber run) {
+  const auto is_run = [&](const auto& it) {
+    return it.task == task && it.run == run;
+  };
+  return std::any_of(listing.running.begin(), listing.running.end(), is_run) ||
+         std::any_of(listing.ended.begin(), listing.ended.end(), is_run);
+}
+
 /// A start call names the worker by its id, so that a process that starts again
 /// under that id carries out calls that are on their way.
-bool IsStartInFlight(const AgentRun& run) {
-  return run.phase == RunPhase::kStarting && run.call_in_flight;
+/// @param call answered by the new process.
+/// @return the runs that the new process has started or may still start.
+std::set<TaskKey> ListRunsOfNewProcess(const RunTable& table,
+                                       const RenewCall& call,
+                                       const WorkerListing& listing) {
+  std::set<TaskKey> out;
+  for (const auto& [task, run] : table.runs) {
+    const bool is_open =
+        run.phase == RunPhase::kStarting &&
+        (run.call_in_flight ||
+         (run.start_unanswered && run.call_fencing >= call.call.fencing));
+    if (is_open || IsListed(listing, task, run.order.run)) out.insert(task);
+  }
+  return out;
 }
 
 /// Ends the runs of a worker that was replaced.
-/// @param keep_starts_in_flight the new process has the id of the former one;
-/// starts in flight are settled by their answer or by a later listing.
-void EndRunsOfFormerWorker(RunTable& table, bool keep_starts_in_flight) {
+/// @param kept tasks whose runs the new process may have; the answer to the
+/// start or a later listing settles them.
+void EndRunsOfFormerWorker(RunTable& table, const std::set<TaskKey>& kept) {
   constexpr const char* kReason = "the worker was replaced";
   std::vector<LapsedRun> on_worker = std::exchange(table.lapsed, {});
   for (auto& [task, run] : table.runs) {
-    if (keep_starts_in_flight && IsStartInFlight(run)) continue;
+    if (kept.contains(task)) continue;
     if (AwaitsStartCall(run)) {
       AddEnd(table, task, run.order.run, RunEnd::kNotStarted, run.checkpoint,
              kReason);
@@ -98,9 +120,8 @@
                          std::move(run.checkpoint),
                          run.phase != RunPhase::kStarting});
   }
-  std::erase_if(table.runs, [&](const auto& it) {
-    return !keep_starts_in_flight || !IsStartInFlight(it.second);
-  });
+  std::erase_if(table.runs,
+                [&](const auto& it) { return !kept.contains(it.first); });
   MonotonicTime last_start{};
   for (const LapsedRun& run : on_worker) {
     last_start = std::max(last_start, run.start_sent_at);
@@ -393,10 +414,10 @@
   if (table.complete_version == 0) table.complete_version = ++table.version;
 }
 
-/// @param keep_starts_in_flight see EndRunsOfFormerWorker.
-void ReplaceWorker(RunTable& table, bool keep_starts_in_flight) {
-  EndRunsOfFormerWorker(table, keep_starts_in_flight);
-  // Starts in flight that have not arrived by the next listing are void.
+/// @param kept see EndRunsOfFormerWorker.
+void ReplaceWorker(RunTable& table, const std::set<TaskKey>& kept) {
+  EndRunsOfFormerWorker(table, kept);
+  // Starts that have not arrived by the next listing are void.
   if (!table.runs.empty()) ++table.fencing;
   for (UnrecordedEnd& end : table.ends) end.worker_number = 0;
   table.worker_end_seen = 0;
@@ -437,7 +458,7 @@
   }
   const bool is_new_worker = IsOtherProcess(table, hello);
   if (is_new_worker) {
-    ReplaceWorker(table, false);
+    ReplaceWorker(table, {});
     table.worker_born_ms = hello.born_ms;
     table.worker_announced_at = now;
   }
@@ -690,7 +711,7 @@
                            call.sent_at < table.worker_announced_at;
     if (is_former) return;
     // The process that answers is the worker, whatever was announced.
-    ReplaceWorker(table, true);
+    ReplaceWorker(table, ListRunsOfNewProcess(table, call, listing));
     table.worker_born_ms = listing.born_ms;
     table.worker_announced_at = now;
     ++table.version;
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -572,6 +572,40 @@
   }
 }
 
+// Regression test: such a start counted as lost although its call had gone out
+// under the fencing number that the list was read with.
+TEST_CASE("an unanswered start to a restarted worker is not given up early") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  const auto calls = BeginStartCalls(table, kNow);
+  const MonotonicTime now = kNow + Duration(10);
+  const auto renewal = BeginRenewal(table, now);
+  FinishStartCall(table, now, calls[0], {CallOutcome::kUnknown, "timeout"});
+  ApplyWorkerListing(table, now, *renewal, Listing(10, 200));
+  CHECK(Ends(table).empty());
+  const auto fenced = BeginRenewal(table, now);
+  CHECK(fenced->call.fencing > calls[0].call.fencing);
+  ApplyWorkerListing(table, now, *fenced, Listing(20, 200));
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].end == RunEnd::kNotStarted);
+}
+
+// Regression test: the end was preceded by a report that the run was lost, so
+// that its task ran again.
+TEST_CASE("a run that a restarted worker has done is not reported as lost") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  const auto calls = BeginStartCalls(table, kNow);
+  FinishStartCall(table, kNow, calls[0], {});
+  const MonotonicTime now = kNow + Duration(10);
+  WorkerListing listing = Listing(10, 200);
+  listing.ended = {{1, kTask, RunNumber(1), RunEnd::kDone, ""}};
+  ApplyWorkerListing(table, now, *BeginRenewal(table, now), listing);
+  CHECK(table.runs.empty());
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].end == RunEnd::kDone);
+}
+
 // Regression test: a worker that had started again under its id was given a
 // lease on the clock of its former process, and told to forget ends that nobody
 // had read.
