Log why a task is placed again and how old the proof of ownership is

Now run.placed has the outcome of the task's previous run (vm_lost, missing or how it ended) and its VM, all planner lines of tasks and VMs have proof_age_ms, and the counters placed_after_OUTCOME count them.

The time of the last proof moves into ShardState, so that the wait line takes it from there; tests of the wait line set it instead of passing an age.

--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -132,7 +132,7 @@
   request.ends_recorded = vm.ends_recorded;
   request.stamp = vm.stamp;
   if (!vm.row_unproven &&
-      loop_.now() - ownership_proven_at_ < kOwnershipProofValidity) {
+      loop_.now() - board_.ownership_proven_at < kOwnershipProofValidity) {
     request.grant_ms = kLeaseGrantDuration.count();
   }
   return request;
--- a/source/planner/commits.cc
+++ b/source/planner/commits.cc
@@ -135,12 +135,12 @@
         if (!planning_ || board_.epoch.value != epoch) return;
         switch (outcome) {
           case JournalOutcome::kCommitted:
-            ownership_proven_at_ = sent_at;
+            board_.ownership_proven_at = sent_at;
             return HandleCommitSuccess();
           case JournalOutcome::kReplaced:
             return StepDown("replaced: " + why);
           case JournalOutcome::kRowsChanged:
-            ownership_proven_at_ = sent_at;
+            board_.ownership_proven_at = sent_at;
             return RetryWithoutRemovals();
           case JournalOutcome::kNotCommitted:
             if (!commit_in_flight_->outcome_unknown)
@@ -169,7 +169,7 @@
   const MonotonicTime now = loop_.now();
   // Any later claim follows this commit, and reads the rows after that.
   for (auto& [id, vm] : board_.vms) {
-    if (vm.listed_at < ownership_proven_at_) vm.row_unproven = false;
+    if (vm.listed_at < board_.ownership_proven_at) vm.row_unproven = false;
   }
   for (const auto& [id, state] : commit.states) {
     const auto it = board_.jobs.find(id);
--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -168,7 +168,7 @@
       Log(Event::kShardClaimFailed, {{"reason", why}});
       return;
     }
-    ownership_proven_at_ = sent_at;
+    claim_sent_at_ = sent_at;
     UpdateOwnerFromHead();
     Log(Event::kShardClaimed,
         {{"epoch", static_cast<int64_t>(journal_.own_head().epoch.value)},
@@ -211,6 +211,7 @@
   board_ = {};
   board_.epoch = journal_.own_head().epoch;
   board_.took_over_at = now;
+  board_.ownership_proven_at = claim_sent_at_;
   board_.queues = queues_;
   board_.tail_limit = settings_.tail_limit;
   board_.unix_offset_ms = WallClockMillis() - now.time_since_epoch().count();
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -124,7 +124,7 @@
 }
 
 JobAnswer Planner::AnswerUnknownJob() const {
-  if (loop_.now() - ownership_proven_at_ < kOwnerTimeout) {
+  if (loop_.now() - board_.ownership_proven_at < kOwnerTimeout) {
     return MakeAnswer(JobVerdict::kUnknownJob);
   }
   JobAnswer answer =
@@ -197,7 +197,7 @@
   const MonotonicTime now = loop_.now();
   Decisions log;
   ExpireVmLeases(board_, now, log);
-  LogWaitingTasks(board_, now, now - ownership_proven_at_, log);
+  LogWaitingTasks(board_, now, log);
   LogTargetMisses(board_, log);
   LogDecisions(log);
   RemoveSilentVms();
@@ -258,6 +258,8 @@
       return Event::kRunPlaced;
     }();
     const bool about_task = !it.task.job.empty();
+    const int64_t proof_age_ms =
+        (loop_.now() - board_.ownership_proven_at).count();
     if (about_task) {
       Log(event, {{"task", ToString(it.task)},
                   {"run", static_cast<int64_t>(it.run.value)},
@@ -265,12 +267,17 @@
                   {"outcome", it.outcome},
                   {"reason", it.reason},
                   {"age_ms", it.age_ms},
+                  {"proof_age_ms", proof_age_ms},
                   {"epoch", static_cast<int64_t>(board_.epoch.value)}});
     } else {
       Log(event, {{"vm", it.vm.value},
                   {"outcome", it.outcome},
                   {"reason", it.reason},
-                  {"age_ms", it.age_ms}});
+                  {"age_ms", it.age_ms},
+                  {"proof_age_ms", proof_age_ms}});
+    }
+    if (it.kind == Decision::Kind::kPlaced && !it.outcome.empty()) {
+      metrics_.CountTaskEvent("placed_after_" + it.outcome);
     }
     metrics_.CountTaskEvent(it.kind == Decision::Kind::kEnded
                                 ? "end_" + it.outcome
@@ -288,7 +295,7 @@
   set("vms", board_.vms.size());
   set("starts", board_.starts);
   set("proof_age_ms",
-      planning_ ? (loop_.now() - ownership_proven_at_).count() : -1);
+      planning_ ? (loop_.now() - board_.ownership_proven_at).count() : -1);
   set("store_failed", store_failed_ ? 1 : 0);
 }
 
--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -192,9 +192,8 @@
   };
   std::optional<InFlightCommit> commit_in_flight_;
   MonotonicTime last_commit_at_{};
-  /// When the last successful commit or claim was sent; this process still
-  /// owned the shard then. Leases are granted only for a limited time after it.
-  MonotonicTime ownership_proven_at_{};
+  /// When the claim of the present ownership was sent.
+  MonotonicTime claim_sent_at_{};
   bool store_failed_ = false;
   /// Generation of the poll loop of each VM; answers and timers of an older
   /// generation are ignored.
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -376,6 +376,11 @@
   decision.vm = vm.id;
   decision.run = number;
   decision.age_ms = (now - task.since).count();
+  decision.outcome = task.last_outcome;
+  if (!task.last_outcome.empty()) {
+    decision.reason = "run " + std::to_string(task.run.value) + " was on " +
+                      task.last_outcome_vm.value;
+  }
   log.push_back(std::move(decision));
   ++shard.starts;
   task.phase = TaskPhase::kPlaced;
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -109,15 +109,24 @@
   EndJob(shard, now, job, JobState::kFailed);
 }
 
+/// Returns a task to the idle state.
+/// @param outcome how its run ended, or why that run no longer counts.
+void MakeIdle(TaskEntity& task, MonotonicTime now, const VmId& vm,
+              std::string outcome) {
+  task.phase = TaskPhase::kIdle;
+  task.vm = {};
+  task.since = now;
+  task.last_outcome = std::move(outcome);
+  task.last_outcome_vm = vm;
+}
+
 /// Processes the end of a task's current run.
 void ProcessCurrentRunEnd(ShardState& shard, MonotonicTime now, JobEntity& job,
                           const TaskKey& key, TaskEntity& task, VmEntity& vm,
                           const RunEndReport& end, Decisions& log) {
   const StepSpec& spec = job.record.spec.steps[key.step];
   const bool untracked = task.phase != TaskPhase::kPlaced;
-  task.phase = TaskPhase::kIdle;
-  task.vm = {};
-  task.since = now;
+  MakeIdle(task, now, vm.id, std::string(ToString(end.end)));
   if (!end.checkpoint.empty()) task.checkpoint = end.checkpoint;
   if (end.end != RunEnd::kNotStarted) {
     task.waiting_since = now;
@@ -297,9 +306,7 @@
     TaskEntity* task = FindTask(shard, it->first);
     if (task != nullptr && task->phase == TaskPhase::kPlaced &&
         task->vm == vm.id && task->run == run.run) {
-      task->phase = TaskPhase::kIdle;
-      task->vm = {};
-      task->since = now;
+      MakeIdle(*task, now, vm.id, "missing");
     }
     it = vm.runs.erase(it);
   }
@@ -402,9 +409,7 @@
       TaskEntity* task = FindTask(shard, key);
       if (task == nullptr || task->phase != TaskPhase::kPlaced) continue;
       if (task->vm != id || task->run != run.run) continue;
-      task->phase = TaskPhase::kIdle;
-      task->vm = {};
-      task->since = now;
+      MakeIdle(*task, now, id, "vm_lost");
     }
   }
 }
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -37,6 +37,10 @@
   VmId vm;
   /// VM of the latest run that this planner placed; a retry prefers another.
   VmId last_vm;
+  /// How the latest run ended, or why it no longer counts, and the VM it was
+  /// on; empty if there was none. For the log only.
+  std::string last_outcome;
+  VmId last_outcome_vm;
   /// Failed runs that count as attempts, in the order they were reported.
   std::vector<RunNumber> failed_runs;
   /// Runs that may have crashed their worker.
@@ -213,6 +217,9 @@
 struct ShardState {
   PlannerEpoch epoch;
   MonotonicTime took_over_at{};
+  /// When the last successful commit or claim was sent; this planner still
+  /// owned the shard then.
+  MonotonicTime ownership_proven_at{};
   /// When it was known that no earlier planner grants leases any more; zero
   /// until then.
   MonotonicTime earlier_planners_stopped_at{};
@@ -342,9 +349,7 @@
 
 /// Logs ready tasks that have not run for over 3 s, lasting ones for over 1 s,
 /// with the reason. Logs one task of a step, and a limited number at a time.
-/// @param proof_age time since the planner last proved its ownership.
-void LogWaitingTasks(ShardState& shard, MonotonicTime now, Duration proof_age,
-                     Decisions& log);
+void LogWaitingTasks(ShardState& shard, MonotonicTime now, Decisions& log);
 /// Logs serving tasks that began to miss their target, with the fillers beside
 /// them, and those that meet it again.
 void LogTargetMisses(ShardState& shard, Decisions& log);
--- a/source/sched/waiting.cc
+++ b/source/sched/waiting.cc
@@ -154,7 +154,8 @@
 
 /// @return the state of the planner's ownership if it may keep tasks from
 /// being started.
-std::string DescribeOwnership(const ShardState& shard, Duration proof_age) {
+std::string DescribeOwnership(const ShardState& shard, MonotonicTime now) {
+  const Duration proof_age = now - shard.ownership_proven_at;
   if (proof_age <= kUsualCommitAge) return "";
   size_t uncommitted_ends = 0;
   for (const auto& [id, vm] : shard.vms) {
@@ -207,9 +208,9 @@
   return out;
 }
 
-void LogWaitingStep(ShardState& shard, MonotonicTime now, Duration proof_age,
-                    const JobEntity& job, uint32_t occurrence,
-                    uint32_t step_index, StepEntity& step, Decisions& log) {
+void LogWaitingStep(ShardState& shard, MonotonicTime now, const JobEntity& job,
+                    uint32_t occurrence, uint32_t step_index, StepEntity& step,
+                    Decisions& log) {
   const StepSpec& spec = job.record.spec.steps[step_index];
   if (!step.ready || step.done == step.tasks.size()) return;
   if (now < step.next_wait_log_at) return;
@@ -227,7 +228,7 @@
   decision.run = task->run;
   decision.age_ms = waited.count();
   decision.reason =
-      DescribeOwnership(shard, proof_age) + DescribeRefusals(*task) +
+      DescribeOwnership(shard, now) + DescribeRefusals(*task) +
       (task->phase == TaskPhase::kPlaced
            ? ReasonOfPlaced(shard, now, decision.task, *task)
            : ReasonOfIdle(shard, now, job, spec, decision.task, *task));
@@ -236,8 +237,7 @@
 
 }  // namespace
 
-void LogWaitingTasks(ShardState& shard, MonotonicTime now, Duration proof_age,
-                     Decisions& log) {
+void LogWaitingTasks(ShardState& shard, MonotonicTime now, Decisions& log) {
   if (now < shard.next_wait_scan_at) return;
   shard.next_wait_scan_at = now + kScanInterval;
   const size_t lines_before = log.size();
@@ -246,8 +246,7 @@
     if (!job.accepted) continue;
     for (auto& [number, occurrence] : job.occurrences) {
       for (uint32_t i = 0; i < occurrence.steps.size(); ++i) {
-        LogWaitingStep(shard, now, proof_age, job, number, i,
-                       occurrence.steps[i], log);
+        LogWaitingStep(shard, now, job, number, i, occurrence.steps[i], log);
         if (log.size() - lines_before >= kMaxLinesPerScan) return;
       }
     }
--- a/tests/sched/waiting_test.cc
+++ b/tests/sched/waiting_test.cc
@@ -25,7 +25,8 @@
 Decision LogWait(ShardState& shard, Duration after,
                  Duration proof_age = Duration(0)) {
   Decisions log;
-  LogWaitingTasks(shard, kNow + after, proof_age, log);
+  shard.ownership_proven_at = kNow + after - proof_age;
+  LogWaitingTasks(shard, kNow + after, log);
   return log.empty() ? Decision{} : log.front();
 }
 
@@ -204,12 +205,14 @@
   Decisions log;
   constexpr Duration kTickInterval{50};
   for (Duration t{3'100}; t < Duration(4'100); t += kTickInterval) {
-    LogWaitingTasks(shard, kNow + t, Duration(0), log);
+    shard.ownership_proven_at = kNow + t;
+    LogWaitingTasks(shard, kNow + t, log);
   }
   CHECK(log.size() == 16);
   // Within some seconds each job gets its turn.
   for (Duration t{4'100}; t < Duration(10'100); t += kTickInterval) {
-    LogWaitingTasks(shard, kNow + t, Duration(0), log);
+    shard.ownership_proven_at = kNow + t;
+    LogWaitingTasks(shard, kNow + t, log);
   }
   std::set<JobId> logged;
   for (const Decision& it : log) logged.insert(it.task.job);
