Answer 410 only after a commit sent since the question

Failure before (planner_test "a planner replaced on request denies no job of its successor", read and cancel): the verdict was kUnknownJob for a job that the successor had accepted 0.1 s before. "a request about an unknown job goes on to the planner's successor" and "a job accepted while a read waits for a proof is not denied" failed as well.

What callers saw: 410 for an accepted job (rule LOST) from an entry that asks a replaced planner.

Cause: an unknown job was denied within 1.3 s of the last proof of ownership, since nobody claims the shard sooner by watching the head row. A takeover on request takes a read and a commit.

Change: the request waits for a commit that was sent at or after its arrival, and the job is looked up again then. Such a request makes the next commit due within 60 ms. Without a proof for 1.3 s, the answer is kUnavailable with store_away, as before for an old proof; a planner that steps down answers that there was no effect, so that the gateway asks the successor.

Why it works: a commit that succeeds shows that no claim came before it, and only a planner after that claim could have accepted the job.

--- a/source/planner/commits.cc
+++ b/source/planner/commits.cc
@@ -72,9 +72,9 @@
                     return it != board_.jobs.end() &&
                            it->second.state != it->second.recorded;
                   });
-  const bool progress_due =
-      (!board_.dirty.empty() || HasUnprovenRows(board_)) &&
-      since_last_commit >= kProgressBatchDelay;
+  const bool progress_due = (!board_.dirty.empty() || HasUnprovenRows(board_) ||
+                             !absence_waiters_.empty()) &&
+                            since_last_commit >= kProgressBatchDelay;
   if (!urgent && !progress_due && since_last_commit < kHeartbeatInterval)
     return;
 
@@ -204,6 +204,7 @@
   });
   const JobAnswer ok = MakeAnswer(JobVerdict::kOk);
   for (auto& fn : fns) fn(ok);
+  AnswerProvenAbsences();
   SchedulePlanning();
 }
 
--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -322,11 +322,15 @@
   // It is not known whether the next planner will find these jobs in the store.
   auto accepting = std::exchange(pending_submissions_, {});
   auto waiters = std::exchange(change_waiters_, {});
+  auto unknown = std::exchange(absence_waiters_, {});
   const JobAnswer answer = MakeAnswer(JobVerdict::kUnknown, "planner replaced");
   for (auto& [job, fns] : accepting) {
     for (auto& fn : fns) fn(answer);
   }
   for (auto& waiter : waiters) waiter.fn(answer);
+  JobAnswer no_effect = answer;
+  no_effect.no_effect = true;
+  for (auto& waiter : unknown) waiter.fn(no_effect);
 }
 
 void Planner::ReleaseShard() {
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -32,6 +32,22 @@
   return job.started ? JobState::kRunning : JobState::kPending;
 }
 
+/// @return true if a job is known to a request that cancels or reads it. Until
+/// a job is accepted it can be cancelled, but not read.
+bool IsKnown(const ShardState& board, const JobCall& call) {
+  const auto it = board.jobs.find(call.job);
+  if (it == board.jobs.end()) return false;
+  return it->second.accepted || call.verb == JobVerb::kCancel;
+}
+
+JobAnswer MakeUnprovenAnswer(PlannerEpoch epoch) {
+  JobAnswer answer =
+      MakeAnswer(JobVerdict::kUnavailable, "ownership of the shard unproven");
+  answer.store_away = true;
+  answer.owner_epoch = epoch;
+  return answer;
+}
+
 }  // namespace
 
 JobAnswer MakeAnswer(JobVerdict verdict, std::string reason) {
@@ -83,7 +99,7 @@
     case JobVerb::kCancel:
       return Cancel(call, std::move(fn));
     case JobVerb::kRead:
-      return Read(call, fn);
+      return Read(call, std::move(fn));
     case JobVerb::kCount: {
       JobAnswer answer = MakeAnswer(JobVerdict::kOk);
       answer.pending_jobs = CountPendingJobs(board_, call.queue);
@@ -123,20 +139,46 @@
   CommitPending();
 }
 
-JobAnswer Planner::AnswerUnknownJob() const {
-  if (loop_.now() - board_.ownership_proven_at < kOwnerTimeout) {
-    return MakeAnswer(JobVerdict::kUnknownJob);
+void Planner::HandleUnknownJob(const JobCall& call, AnswerFn fn) {
+  const MonotonicTime now = loop_.now();
+  if (now - board_.ownership_proven_at >= kOwnerTimeout) {
+    return fn(MakeUnprovenAnswer(board_.epoch));
+  }
+  absence_waiters_.push_back({call, now, std::move(fn)});
+  CommitPending();
+}
+
+void Planner::AnswerProvenAbsences() {
+  std::vector<AbsenceWaiter> proven;
+  std::erase_if(absence_waiters_, [&](AbsenceWaiter& waiter) {
+    if (waiter.arrived_at > board_.ownership_proven_at) return false;
+    proven.push_back(std::move(waiter));
+    return true;
+  });
+  for (AbsenceWaiter& waiter : proven) {
+    // The job may have been accepted meanwhile.
+    if (IsKnown(board_, waiter.call)) {
+      Handle(waiter.call, std::move(waiter.fn));
+    } else {
+      waiter.fn(MakeAnswer(JobVerdict::kUnknownJob));
+    }
   }
-  JobAnswer answer =
-      MakeAnswer(JobVerdict::kUnavailable, "ownership of the shard unproven");
-  answer.store_away = true;
-  answer.owner_epoch = board_.epoch;
-  return answer;
+}
+
+void Planner::RefuseUnprovenAbsences() {
+  const MonotonicTime now = loop_.now();
+  std::vector<AnswerFn> fns;
+  std::erase_if(absence_waiters_, [&](AbsenceWaiter& waiter) {
+    if (now - waiter.arrived_at < kOwnerTimeout) return false;
+    fns.push_back(std::move(waiter.fn));
+    return true;
+  });
+  for (auto& fn : fns) fn(MakeUnprovenAnswer(board_.epoch));
 }
 
 void Planner::Cancel(const JobCall& call, AnswerFn fn) {
+  if (!IsKnown(board_, call)) return HandleUnknownJob(call, std::move(fn));
   const auto it = board_.jobs.find(call.job);
-  if (it == board_.jobs.end()) return fn(AnswerUnknownJob());
   if (IsFinal(it->second.recorded)) return fn(MakeAnswer(JobVerdict::kOk));
   CancelJob(board_, loop_.now(), it->second);
   Log(Event::kJobCancelled,
@@ -147,13 +189,10 @@
   SchedulePlanning();
 }
 
-void Planner::Read(const JobCall& call, const AnswerFn& fn) {
-  const auto it = board_.jobs.find(call.job);
-  if (it == board_.jobs.end() || !it->second.accepted) {
-    return fn(AnswerUnknownJob());
-  }
+void Planner::Read(const JobCall& call, AnswerFn fn) {
+  if (!IsKnown(board_, call)) return HandleUnknownJob(call, std::move(fn));
   JobAnswer answer = MakeAnswer(JobVerdict::kOk);
-  answer.state = VisibleState(it->second);
+  answer.state = VisibleState(board_.jobs.at(call.job));
   fn(answer);
 }
 
@@ -200,6 +239,7 @@
   LogWaitingTasks(board_, now, log);
   LogTargetMisses(board_, log);
   LogDecisions(log);
+  RefuseUnprovenAbsences();
   RemoveSilentVms();
   while (!board_.ended.empty()) {
     const auto it = board_.jobs.find(board_.ended.front());
--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -81,6 +81,14 @@
     AnswerFn fn;
   };
 
+  /// A request about a job that this planner does not know. It is decided once
+  /// a commit that was sent after its arrival has succeeded.
+  struct AbsenceWaiter {
+    JobCall call;
+    MonotonicTime arrived_at{};
+    AnswerFn fn;
+  };
+
   // Ownership.
   void WatchHead();
   void ReadHead();
@@ -104,11 +112,17 @@
   // Callers' requests.
   void Submit(const JobCall& call, AnswerFn fn);
   void Cancel(const JobCall& call, AnswerFn fn);
-  void Read(const JobCall& call, const AnswerFn& fn);
-  /// @return that the job does not exist, or, if this process may have been
-  /// replaced without knowing, that it cannot tell: its successor may have
-  /// accepted the job.
-  JobAnswer AnswerUnknownJob() const;
+  void Read(const JobCall& call, AnswerFn fn);
+  /// Handles a request about a job that this planner does not know. A successor
+  /// may have accepted the job, so that the answer waits for a proof that there
+  /// was none when the request arrived.
+  void HandleUnknownJob(const JobCall& call, AnswerFn fn);
+  /// Answers the requests about unknown jobs that arrived before the last proof
+  /// of ownership was sent.
+  void AnswerProvenAbsences();
+  /// Answers the requests about unknown jobs that have waited too long for a
+  /// proof.
+  void RefuseUnprovenAbsences();
 
   // Agents.
   void ApplyAgentRow(const StoreRow& row);
@@ -167,6 +181,8 @@
   /// wait for the outcome.
   std::map<JobId, std::vector<AnswerFn>> pending_submissions_;
   std::vector<ChangeWaiter> change_waiters_;
+  /// In the order of their arrival.
+  std::vector<AbsenceWaiter> absence_waiters_;
   /// Rows of ended jobs, each job's own row before its progress: a job without
   /// progress would run again.
   std::deque<StoreKey> pending_deletes_;
