Stop runs only by what VMs have reported recently

Failure before (sched_test, four new cases): "a task on a silent VM is not available to the disruption limit" and "nothing is stopped on a VM that is silent with a shrunk capacity" logged a stop; in "a lasting task is not stopped for room on a silent VM" and "a paused filler does not move to a silent VM" the run was stopped.

What callers would see: a lasting task stopped while the others of its step are away (rule AVAIL), or stopped without another place; work lost on a VM whose capacity is back.

Cause: a VM stays synced until its lease ends, 5.35 s after its last report, and that report counted as the present. A planner that is cut off with one VM sees all the others so.

Change: HasReportedRecently (0.7 s, the bound that placement uses already). Only such VMs count as running the tasks that a disruption limit needs, as room for a run that is to move, and as over their capacity.

The older tests of stops let 10 s pass in which no VM reported, which a planner never sees: it takes such VMs for lost before.

--- a/source/sched/detail.h
+++ b/source/sched/detail.h
@@ -20,6 +20,11 @@
 /// shrunk since they were placed, or fillers are on a VM without processors.
 bool IsOverCapacity(const VmEntity& vm);
 
+/// @return true if the latest report of the VM describes the present: an agent
+/// that is reachable reports more often than this requires. What a report said
+/// earlier does not show that it still holds.
+bool HasReportedRecently(const VmEntity& vm, MonotonicTime now);
+
 /// Stops runs of a VM that has been over its capacity for some time, until the
 /// others fit.
 void StopRunsOverCapacity(ShardState& shard, VmEntity& vm, MonotonicTime now,
--- a/source/sched/pace.cc
+++ b/source/sched/pace.cc
@@ -91,12 +91,14 @@
 }
 
 /// @return true if another VM could run a paused filler at nearly full speed.
-bool CanRunElsewhere(const ShardState& shard, const VmEntity& here,
-                     const TaskKey& key, const StepSpec& step) {
+bool CanRunElsewhere(const ShardState& shard, MonotonicTime now,
+                     const VmEntity& here, const TaskKey& key,
+                     const StepSpec& step) {
   return std::any_of(shard.vms.begin(), shard.vms.end(), [&](const auto& it) {
     const VmEntity& vm = it.second;
     constexpr double kNearlyFullSpeed = 0.9;
-    if (vm.id == here.id || !vm.synced || vm.worker.draining) return false;
+    if (vm.id == here.id || vm.worker.draining) return false;
+    if (!HasReportedRecently(vm, now)) return false;
     if (vm.worker.service != here.worker.service) return false;
     int64_t free_cpu = vm.worker.capacity.cpu.value;
     Resources free = vm.worker.capacity;
@@ -132,7 +134,8 @@
             run.filler && run.paused_since != MonotonicTime{} &&
             now - run.paused_since >= kMinPauseBeforeMove &&
             run.percent < kNearlyDonePercent;
-        if (!move_paused || !CanRunElsewhere(shard, vm, key, *step)) continue;
+        if (!move_paused || !CanRunElsewhere(shard, now, vm, key, *step))
+          continue;
         run.stop_wanted = true;
         Decision decision;
         decision.kind = Decision::Kind::kTakenBack;
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -33,8 +33,6 @@
 /// Exceeds all other differences between VMs: tasks that are not started lose
 /// more than by any other choice.
 constexpr double kUnreliableVmPenalty = 32;
-/// An agent that is reachable reports more often than this.
-constexpr Duration kMaxReportAge{700};
 constexpr double kUnsuitable = std::numeric_limits<double>::lowest();
 /// Run numbers available to one task within one planner epoch.
 constexpr uint64_t kRunsPerEpoch = 1'000;
@@ -108,7 +106,7 @@
 /// late with its report. Such a VM has more room than others, since nothing
 /// starts there.
 bool IsUnreliable(const VmEntity& vm, MonotonicTime now) {
-  return vm.avoided_until > now || now - vm.last_report_at > kMaxReportAge;
+  return vm.avoided_until > now || !HasReportedRecently(vm, now);
 }
 
 /// @return the services of which most VMs are set aside. Their failures are due
--- a/source/sched/shard_state.cc
+++ b/source/sched/shard_state.cc
@@ -8,6 +8,9 @@
 namespace almondtally::sched {
 namespace {
 
+/// An agent that is reachable reports more often than this.
+constexpr Duration kMaxReportAge{700};
+
 MonotonicTime FromUnix(const ShardState& shard, int64_t unix_ms) {
   return MonotonicTime(Duration(unix_ms - shard.unix_offset_ms));
 }
@@ -242,6 +245,10 @@
   run.tail_target_ms = step.tail_target_ms;
 }
 
+bool HasReportedRecently(const VmEntity& vm, MonotonicTime now) {
+  return vm.synced && now - vm.last_report_at <= kMaxReportAge;
+}
+
 Resources ReservedCapacity(const VmEntity& vm) {
   Resources sum;
   for (const auto& [key, run] : vm.runs) {
--- a/source/sched/shrink.cc
+++ b/source/sched/shrink.cc
@@ -50,10 +50,11 @@
          (free.accelerators.value < 0 && size.accelerators.value > 0);
 }
 
-bool IsAvailable(const ShardState& shard, const TaskKey& key,
+bool IsAvailable(const ShardState& shard, MonotonicTime now, const TaskKey& key,
                  const TaskEntity& task) {
   const auto vm = shard.vms.find(task.vm);
   if (task.phase != TaskPhase::kPlaced || vm == shard.vms.end()) return false;
+  if (!HasReportedRecently(vm->second, now)) return false;
   const auto it = vm->second.runs.find(key);
   if (it == vm->second.runs.end()) return false;
   const VmRun& run = it->second;
@@ -63,7 +64,7 @@
 
 /// @return true if the disruption limit of a step allows taking one of its
 /// tasks down.
-bool MayDisrupt(const ShardState& shard, const TaskKey& key,
+bool MayDisrupt(const ShardState& shard, MonotonicTime now, const TaskKey& key,
                 const StepSpec& step) {
   if (step.disruption_limit < 0) return true;
   const auto& tasks = shard.jobs.at(key.job)
@@ -74,19 +75,19 @@
   TaskKey other = key;
   for (other.index = 0; other.index < tasks.size(); ++other.index) {
     if (other.index == key.index) continue;
-    if (!IsAvailable(shard, other, tasks[other.index])) ++others_away;
+    if (!IsAvailable(shard, now, other, tasks[other.index])) ++others_away;
   }
   return others_away < step.disruption_limit;
 }
 
 /// @return true if another VM has room for a task of the step.
-bool HasRoomElsewhere(const ShardState& shard, const VmEntity& here,
-                      const StepSpec& step) {
+bool HasRoomElsewhere(const ShardState& shard, MonotonicTime now,
+                      const VmEntity& here, const StepSpec& step) {
   return std::any_of(shard.vms.begin(), shard.vms.end(), [&](const auto& it) {
     const VmEntity& vm = it.second;
     const WorkerReport& worker = vm.worker;
-    const bool usable = vm.id != here.id && vm.synced && worker.responsive &&
-                        !worker.draining &&
+    const bool usable = vm.id != here.id && HasReportedRecently(vm, now) &&
+                        worker.responsive && !worker.draining &&
                         worker.service == here.worker.service;
     if (!usable) return false;
     const auto& labels = worker.labels;
@@ -101,10 +102,10 @@
 
 /// @return true for a filler on a VM without processors if another VM can run
 /// it.
-bool IsStarved(const ShardState& shard, const VmEntity& vm, const VmRun& run,
-               const StepSpec& step) {
+bool IsStarved(const ShardState& shard, MonotonicTime now, const VmEntity& vm,
+               const VmRun& run, const StepSpec& step) {
   return run.filler && vm.worker.capacity.cpu.value <= 0 &&
-         HasRoomElsewhere(shard, vm, step);
+         HasRoomElsewhere(shard, now, vm, step);
 }
 
 /// @return true if a run may be stopped, except for the conditions that hold
@@ -128,7 +129,7 @@
   for (auto& [key, run] : vm.runs) {
     const StepSpec* step = FindStep(shard, key);
     if (step == nullptr) continue;
-    const bool starved = IsStarved(shard, vm, run, *step);
+    const bool starved = IsStarved(shard, now, vm, run, *step);
     if (!IsStoppable(run, *step, starved, now)) continue;
     out.push_back(
         {key, &run, step, shard.jobs.at(key.job).terms.priority, starved});
@@ -153,7 +154,7 @@
   }
   if (vm.over_capacity_since == MonotonicTime{}) vm.over_capacity_since = now;
   if (now - vm.over_capacity_since < kShrinkTolerance) return;
-  if (now < vm.next_shrink_stop_at) return;
+  if (now < vm.next_shrink_stop_at || !HasReportedRecently(vm, now)) return;
   vm.next_shrink_stop_at = now + kStopInterval;
   Resources free = vm.worker.capacity - ReservedCapacity(vm);
   for (const auto& [key, run] : vm.runs) {
@@ -164,9 +165,9 @@
     if (!it.starved && !Relieves(size, free)) continue;
     if (it.step->lasting) {
       if (now < shard.next_lasting_stop_at) continue;
-      if (!MayDisrupt(shard, it.key, *it.step)) continue;
+      if (!MayDisrupt(shard, now, it.key, *it.step)) continue;
       // Without another place, the task keeps working here, if slowly.
-      if (!HasRoomElsewhere(shard, vm, *it.step)) continue;
+      if (!HasRoomElsewhere(shard, now, vm, *it.step)) continue;
       shard.next_lasting_stop_at = now + kLastingStopInterval;
     }
     it.run->stop_wanted = true;
--- a/tests/sched/capacity_test.cc
+++ b/tests/sched/capacity_test.cc
@@ -94,12 +94,21 @@
 /// Long enough for a capacity that has shrunk to count as lasting.
 constexpr Duration kSettled{10'000};
 
+/// Decides the stops at a time at which all VMs have just reported their runs
+/// and capacities unchanged.
+void StopReported(ShardState& shard, MonotonicTime now, Decisions& log) {
+  for (auto& [id, vm] : shard.vms) {
+    SetCapacity(shard, vm, vm.worker.capacity, now);
+  }
+  StopRunsToMove(shard, now, log);
+}
+
 /// Runs a planning pass's stops at a time and again when the capacity has been
 /// short for a while.
 void StopWhatNoLongerFits(ShardState& shard, MonotonicTime from = kNow) {
   Decisions log;
-  StopRunsToMove(shard, from, log);
-  StopRunsToMove(shard, from + kSettled, log);
+  StopReported(shard, from, log);
+  StopReported(shard, from + kSettled, log);
 }
 
 bool IsStopped(const VmEntity& vm, const std::string& job, uint32_t index = 0) {
@@ -134,7 +143,7 @@
   CHECK(stopped == 2);
   // Runs that are being stopped count as gone for further stops.
   Decisions log;
-  StopRunsToMove(shard, kNow + 2 * kSettled, log);
+  StopReported(shard, kNow + 2 * kSettled, log);
   CHECK(log.empty());
 }
 
@@ -270,13 +279,13 @@
   SetCapacity(shard, other, Cpu(1'000));
   SUBCASE("while there are none") {
     Decisions log;
-    StopRunsToMove(shard, kNow + 2 * kSettled, log);
+    StopReported(shard, kNow + 2 * kSettled, log);
     CHECK(IsStopped(vm, "filler"));
   }
   SUBCASE("unless they are back") {
     SetCapacity(shard, vm, Cpu(1'000));
     Decisions log;
-    StopRunsToMove(shard, kNow + 2 * kSettled, log);
+    StopReported(shard, kNow + 2 * kSettled, log);
     CHECK_FALSE(IsStopped(vm, "filler"));
   }
 }
@@ -293,7 +302,7 @@
   CHECK_FALSE(IsStopped(vm, "serving"));
   SetCapacity(shard, other, Cpu(2'000));
   Decisions log;
-  StopRunsToMove(shard, kNow + 2 * kSettled, log);
+  StopReported(shard, kNow + 2 * kSettled, log);
   CHECK(IsStopped(vm, "serving"));
 }
 
@@ -316,11 +325,73 @@
   Decisions log;
   // The first task that is stopped stays away all the while.
   for (int i = 0; i < 20; ++i) {
-    StopRunsToMove(shard, kNow + Duration(1'000 * i), log);
+    StopReported(shard, kNow + Duration(1'000 * i), log);
   }
   CHECK(static_cast<int64_t>(log.size()) == step.disruption_limit);
 }
 
+// Issue 42, the same class: for 5 s after a VM had fallen silent its tasks
+// counted as available, and the next one was stopped elsewhere.
+TEST_CASE("a task on a silent VM is not available to the disruption limit") {
+  ShardState shard = NewBoard();
+  VmEntity& a = AddVm(shard, "a", 1'000);
+  VmEntity& b = AddVm(shard, "b", 1'000);
+  StepSpec step = ServingStep(2, 1'000);
+  step.disruption_limit = 1;
+  AcceptJob(shard, "j", {step});
+  Place(shard);
+  for (VmEntity* vm : {&a, &b}) {
+    REQUIRE(vm->runs.size() == 1);
+    ReportAtWork(shard, *vm);
+  }
+  VmEntity& spare = AddVm(shard, "spare", 9'000);
+  SetCapacity(shard, a, Cpu(0));
+  Decisions log;
+  StopRunsToMove(shard, kNow, log);
+  const MonotonicTime later = kNow + Duration(4'000);
+  SetCapacity(shard, a, Cpu(0), later);
+  SetCapacity(shard, spare, Cpu(9'000), later);
+  StopRunsToMove(shard, later, log);
+  CHECK(log.empty());
+  SetCapacity(shard, b, Cpu(1'000), later);
+  StopRunsToMove(shard, later + Duration(500), log);
+  CHECK(log.size() == 1);
+}
+
+TEST_CASE("a lasting task is not stopped for room on a silent VM") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a", 4'000);
+  AcceptJob(shard, "serving", {ServingStep(1, 2'000)});
+  Place(shard);
+  ReportAtWork(shard, vm);
+  VmEntity& silent = AddVm(shard, "b", 4'000);
+  SetCapacity(shard, vm, Cpu(0));
+  Decisions log;
+  StopRunsToMove(shard, kNow, log);
+  const MonotonicTime later = kNow + Duration(4'000);
+  SetCapacity(shard, vm, Cpu(0), later);
+  StopRunsToMove(shard, later, log);
+  CHECK_FALSE(IsStopped(vm, "serving"));
+  SetCapacity(shard, silent, Cpu(4'000), later);
+  StopRunsToMove(shard, later + Duration(500), log);
+  CHECK(IsStopped(vm, "serving"));
+}
+
+// The stop would be carried out once the VM is back, with the capacity that it
+// has then.
+TEST_CASE("nothing is stopped on a VM that is silent with a shrunk capacity") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a", 4'000);
+  AcceptJob(shard, "j", {CheckpointStep(4, 1'000)});
+  Place(shard);
+  ReportAllRunning(shard, vm);
+  SetCapacity(shard, vm, Cpu(2'000));
+  Decisions log;
+  StopRunsToMove(shard, kNow, log);
+  StopRunsToMove(shard, kNow + Duration(4'000), log);
+  CHECK(log.empty());
+}
+
 TEST_CASE("lasting tasks of shrunk VMs are stopped one after the other") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a", 3'000);
@@ -330,11 +401,11 @@
   AddVm(shard, "b", 9'000);
   SetCapacity(shard, vm, Cpu(0));
   Decisions log;
-  StopRunsToMove(shard, kNow, log);
-  StopRunsToMove(shard, kNow + kSettled, log);
-  StopRunsToMove(shard, kNow + kSettled + Duration(100), log);
+  StopReported(shard, kNow, log);
+  StopReported(shard, kNow + kSettled, log);
+  StopReported(shard, kNow + kSettled + Duration(100), log);
   CHECK(log.size() == 1);
-  StopRunsToMove(shard, kNow + kSettled + Duration(1'500), log);
+  StopReported(shard, kNow + kSettled + Duration(1'500), log);
   CHECK(log.size() == 2);
 }
 
--- a/tests/sched/interference_test.cc
+++ b/tests/sched/interference_test.cc
@@ -159,6 +159,25 @@
   CHECK(setup.speed_limit("calm") == 100);
 }
 
+// Issue 42, the same class: the last report of a silent VM counted as room.
+TEST_CASE("a paused filler does not move to a silent VM") {
+  MissedTarget setup({"calm"});
+  VmEntity& other = AddVm(setup.shard, "b", 32'000);
+  constexpr Duration kLater{3'700};
+  for (const Duration since : {Duration(0), Duration(2'500), kLater}) {
+    setup.Miss(since);
+  }
+  REQUIRE(setup.speed_limit("calm") == 0);
+  const VmRun& filler = setup.vm->runs.at(Key("calm", 0, 0));
+  Decisions log;
+  StopRunsToMove(setup.shard, kAfterFillerWait + kLater, log);
+  CHECK_FALSE(filler.stop_wanted);
+  ApplyReport(setup.shard, kAfterFillerWait + kLater, other,
+              Report(other, 32'000), log);
+  StopRunsToMove(setup.shard, kAfterFillerWait + kLater, log);
+  CHECK(filler.stop_wanted);
+}
+
 TEST_CASE("a filler placed where fillers are paused starts paused") {
   MissedTarget setup({"calm"});
   setup.Miss(Duration(0));
