Clear suspects by the time between reports, not by when they are read

Failure before: sched_test "a suspect is not cleared by a report from before its test was over". The suspect was cleared by a report made 0.1 s after its start and read 1 s after it.

What callers would see: a task that crashes workers is cleared and crashes as many again, with the runs of others (rule BUDGET).

Cause: the time without a crash ran until the planner read the report. A paused planner or a link that holds reports up makes it long, and what happened since the report was made is not known.

Change: the time is taken between the first report that shows the run at work and the latest one, on the agent's clock (their stamps). The spacing of tests on one VM is left: it decides no guilt.

ReportAllRunning of the tests stamps reports with their time, as agents do; it gave the same stamp to all.

--- a/source/sched/detail.h
+++ b/source/sched/detail.h
@@ -50,8 +50,7 @@
 
 /// Clears the suspects whose runs on a VM have not crashed its worker.
 /// @param vm has just reported.
-void ClearProvenSuspects(ShardState& shard, MonotonicTime now,
-                         const VmEntity& vm, Decisions& log);
+void ClearProvenSuspects(ShardState& shard, const VmEntity& vm, Decisions& log);
 
 /// VMs that run suspects.
 struct SuspectTests {
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -229,6 +229,7 @@
       run.phase == RunPhase::kStarting && report.phase == RunPhase::kRunning;
   if (started_running) {
     run.running_since = now;
+    run.running_since_stamp = vm.stamp;
     vm.avoided_until = {};
   }
   run.phase = report.phase;
@@ -376,7 +377,7 @@
   }
   for (const RunReport& run : report.runs) ProcessRun(shard, now, vm, run, log);
   RemoveMissingRuns(shard, now, vm, report, log);
-  ClearProvenSuspects(shard, now, vm, log);
+  ClearProvenSuspects(shard, vm, log);
   UpdateModelsFromReport(shard, now, vm, report);
   vm.seen_version = report.version;
   ReleaseRecordedEnds(shard, vm);
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -138,6 +138,8 @@
   int64_t percent = 0;
   int64_t measurement = -1;
   MonotonicTime running_since{};
+  /// The agent's clock in the first report that showed the run as running.
+  AgentTime running_since_stamp;
 };
 
 /// A run end whose effect is not durable until the store has written `change`.
--- a/source/sched/suspects.cc
+++ b/source/sched/suspects.cc
@@ -91,14 +91,26 @@
   return std::max(kMinProofTime, kDelayFactor * task.longest_crash_delay);
 }
 
+bool IsAtWork(const VmEntity& vm, const VmRun& run) {
+  return vm.worker.responsive && run.phase == RunPhase::kRunning &&
+         run.running_since != MonotonicTime{};
+}
+
+/// @return true if reports show that a run was at work for `time` and for
+/// longer than it takes the task to crash a worker. What has happened since the
+/// latest report was made is not known, however late that report is read.
+bool IsProvenAtWorkFor(const VmEntity& vm, const VmRun& run,
+                       const TaskEntity& task, Duration time) {
+  const Duration shown(vm.stamp.value - run.running_since_stamp.value);
+  return IsAtWork(vm, run) &&
+         shown >= std::max(time, kDelayFactor * task.longest_crash_delay);
+}
+
 /// @return true if a run has been at work for `time`, or for longer than it
 /// takes the task to crash a worker.
 bool HasRunFor(const VmEntity& vm, const VmRun& run, const TaskEntity& task,
                Duration time, MonotonicTime now) {
-  if (!vm.worker.responsive || run.phase != RunPhase::kRunning ||
-      run.running_since == MonotonicTime{}) {
-    return false;
-  }
+  if (!IsAtWork(vm, run)) return false;
   return now - run.running_since >=
          std::max(time, kDelayFactor * task.longest_crash_delay);
 }
@@ -151,15 +163,16 @@
   EndJob(shard, now, job, JobState::kFailed);
 }
 
-void ClearProvenSuspects(ShardState& shard, MonotonicTime now,
-                         const VmEntity& vm, Decisions& log) {
+void ClearProvenSuspects(ShardState& shard, const VmEntity& vm,
+                         Decisions& log) {
   for (auto it = shard.crashed_tasks.begin();
        it != shard.crashed_tasks.end();) {
     const TaskKey key = *it;
     const auto run = vm.runs.find(key);
     TaskEntity* const task = FindTask(shard, key);
-    const bool proven = task != nullptr && run != vm.runs.end() &&
-                        HasRunFor(vm, run->second, *task, kMinProofTime, now);
+    const bool proven =
+        task != nullptr && run != vm.runs.end() &&
+        IsProvenAtWorkFor(vm, run->second, *task, kMinProofTime);
     if (!proven) {
       ++it;
       continue;
--- a/tests/sched/shard_state_builder.h
+++ b/tests/sched/shard_state_builder.h
@@ -85,6 +85,7 @@
   SyncRequest request;
   if (HasUnsentOrders(vm)) CollectOrders(shard, vm, request);
   SyncReport report = Report(vm, vm.worker.capacity.cpu.value);
+  report.stamp = AgentTime(now.time_since_epoch().count());
   for (const auto& [task, run] : vm.runs) {
     report.runs.push_back(Running(task, run.run));
   }
--- a/tests/sched/suspects_test.cc
+++ b/tests/sched/suspects_test.cc
@@ -358,6 +358,32 @@
   CHECK(shard.suspects.contains(task));
 }
 
+// Issue 42, the same class: the time until a report is read says nothing about
+// the run that it lists.
+TEST_CASE(
+    "a suspect is not cleared by a report from before its test was over") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 1);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  CrashOnce(shard, kNow, task, kOnlySuspect);
+  const MonotonicTime started = kNow + kLater;
+  Place(shard, started);
+  VmEntity& vm = *VmOf(shard, task);
+  ReportAllRunning(shard, vm, started);
+  const auto report_at = [&](MonotonicTime made, MonotonicTime read) {
+    SyncReport report = Report(vm);
+    report.stamp = AgentTime(made.time_since_epoch().count());
+    report.runs.push_back(Running(task, RunNumber(2)));
+    Decisions log;
+    ApplyReport(shard, read, vm, report, log);
+  };
+  report_at(started + Duration(100), started + kLater);
+  CHECK(shard.suspects.contains(task));
+  report_at(started + kLater, started + kLater + Duration(5));
+  CHECK(shard.suspects.empty());
+}
+
 TEST_CASE("suspects hold at most a third of the VMs") {
   ShardState shard = NewBoard();
   AddVms(shard, 6);
