Do not take polls of a replaced planner for a sign that the VM is listed

Failure before: agent_test "requests without a grant do not show that the VM is listed" did not compile, as the field is new; by reading, any request set it.

What callers saw: nothing in a record. A VM that its present planner could not reach for 20 s loses its row; while a replaced planner went on polling it, its agent did not check the row, so that the VM stayed idle.

Cause: the time of the last request, of any planner of the highest epoch that this agent knows, stood for being listed. Only a planner with a recent proof of ownership sends a grant; the time of the last grant is taken now.

Cost: while no planner can prove its ownership, each agent reads its row every 2 s.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -15,8 +15,8 @@
 /// once while there are any, so renewals would otherwise run in a tight loop.
 constexpr Duration kRenewPause{15};
 constexpr Duration kRenewRetryDelay{100};
-/// An agent that no planner has contacted for this long checks whether its row
-/// is still in the store and readable.
+/// An agent that no planner has granted a lease for this long checks whether its
+/// row is still in the store and readable.
 constexpr Duration kPlannerSilence{3'000};
 constexpr Duration kRowCheckInterval{2'000};
 constexpr Duration kWriteRowRetryDelay{300};
@@ -73,7 +73,7 @@
 void Agent::EnsureRowIsValid() {
   const MonotonicTime now = loop_.now();
   if (!row_written_ || row_write_in_flight_ ||
-      now - table_.last_request_at < kPlannerSilence)
+      now - table_.last_grant_at < kPlannerSilence)
     return;
   if (now < next_row_check_at_) return;
   next_row_check_at_ = now + kRowCheckInterval;
@@ -308,7 +308,7 @@
   set("runs", table_.runs.size());
   set("ends_unrecorded", table_.ends.size());
   set("lease_left_ms", (table_.lease_until - now).count());
-  set("planner_age_ms", (now - table_.last_request_at).count());
+  set("planner_age_ms", (now - table_.last_grant_at).count());
   set("worker_responsive", table_.worker.responsive ? 1 : 0);
   set("epoch", table_.epoch.value);
 }
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -500,7 +500,7 @@
   }
   table.planner = request.planner;
   table.planner_address = request.planner_address;
-  table.last_request_at = now;
+  if (request.grant_ms > 0) table.last_grant_at = now;
   if (request.life != table.life) return true;
   table.fencing = std::max(table.fencing, request.fencing_base);
   DropRecordedEnds(table, request.ends_recorded);
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -98,7 +98,9 @@
   std::string planner_address;
   uint64_t version = 1;
   uint64_t batch = 0;
-  MonotonicTime last_request_at{};
+  /// When a planner that could prove its ownership last sent a request. One
+  /// that has been replaced may go on sending without a grant.
+  MonotonicTime last_grant_at{};
   MonotonicTime started_at{};
   /// All runs on the VM are known: either the worker has listed its runs since
   /// this process started, or all leases granted to an earlier agent process
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -98,6 +98,21 @@
   CHECK(Ends(table)[0].end == RunEnd::kNotStarted);
 }
 
+// Issue 42, the same class: polls of a replaced planner kept the agent from
+// restoring the row that the successor had removed.
+TEST_CASE("requests without a grant do not show that the VM is listed") {
+  RunTable table = Ready();
+  const MonotonicTime before = table.last_grant_at;
+  const MonotonicTime later = kNow + Duration(3'000);
+  SyncRequest request = Request(table);
+  request.grant_ms = 0;
+  ApplySyncRequest(table, later, request);
+  CHECK(table.last_grant_at == before);
+  request.grant_ms = kLeaseGrantDuration.count();
+  ApplySyncRequest(table, later, request);
+  CHECK(table.last_grant_at == later);
+}
+
 TEST_CASE("admission counts starting, running and stopping runs") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1, 3'000), Start(kOther, 1, 2'000)});
