Soak: proxies between entries and agents and among entries, with splits

Change: network.py puts a proxy into each directed link. The store's stand-in shows each process the addresses of its own links; addresses that travel in messages are replaced in the same way. Faults: cut, one-way silence, delay and reset, of one link or of a group, in series (links_flap) and beside the other faults; a split leaves the planner (split) or any part of the processes (split_any) without the others and the store. Each run begins with a split. The machines at both ends of an impaired link count as impaired in history.calm; rules without a time bound are judged as before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,10 +5,15 @@
 
 from fleet import expected
 from harness import now_ms
+from network import BACK, BOTH, THERE, LinkFault
 
 STORM_S = (7, 13)
-CALM_S = (9, 12)
+CALM_S = (11, 14)
 FAULTS = (6, 14)
+# Longer than an entry without the store grants leases.
+SPLIT_S = (8, 12)
+SPLIT_START_S = 1.5
+SPLIT_SHARE = 0.7
 
 
 @contextlib.contextmanager
@@ -216,12 +221,8 @@
         names = rng.sample(names, rng.randint(1, len(names) // 2))
     mode = rng.choice(["reset", "silent", "busy"])
     fleet.record.add("store.away", mode=mode, names=len(names))
-    with impaired(fleet, "store"):
-        for it in names:
-            fleet.store.set_mode(it, mode)
+    with impaired(fleet, "store"), fleet.store.away(names, mode):
         await asyncio.sleep(rng.uniform(2, 6))
-        for it in names:
-            fleet.store.set_mode(it, "")
 
 
 async def store_slow(fleet, rng):
@@ -250,20 +251,106 @@
     await fleet.put_config()
 
 
+async def on_links(fleet, rng, pairs, fault, seconds):
+    """A fault on some links."""
+    names = sorted({name for pair in pairs for name in pair})
+    what = {"kind": fault.kind, "directions": "/".join(fault.directions),
+            "delay": f"{fault.delay_s:.2f}", "links": len(pairs)}
+    fleet.record.add("links", **what, on=pairs if len(pairs) < 20 else names)
+    with impaired(fleet, *names), fleet.network.impaired(
+            pairs, fault, reset_after=rng.random() < 0.3):
+        await asyncio.sleep(seconds)
+    fleet.record.add("links.end", **what)
+
+
+def some_links(fleet, rng):
+    """@return a link by itself, or those of a group."""
+    entries = [it.name for it in fleet.entries]
+    agents = list(fleet.agents)
+    planner = fleet.planner().name
+    one = rng.choice([planner, planner, rng.choice(entries)])
+    few = rng.sample(agents, rng.randint(1, len(agents) // 2))
+    return fleet.network.between(*rng.choice([
+        ([one], [rng.choice(agents)]), ([one], few), ([one], agents),
+        (entries, few), (entries, few), ([one], entries),
+        ([one], entries + agents), (entries, entries)]))
+
+
+def link_fault(rng):
+    kind = rng.choice(["cut", "cut", "one_way", "delay", "reset"])
+    if kind == "one_way":
+        return LinkFault("cut", (rng.choice([THERE, BACK]),))
+    if kind == "delay":
+        return LinkFault(kind, rng.choice([BOTH, (THERE,), (BACK,)]),
+                         rng.choice([0.05, 0.3, 0.8, 1.5]))
+    return LinkFault(kind)
+
+
+async def links(fleet, rng):
+    await on_links(fleet, rng, some_links(fleet, rng), link_fault(rng),
+                   rng.choice([0.1, rng.uniform(1, 4), rng.uniform(4, 8)]))
+
+
+async def links_flap(fleet, rng):
+    """The same fault again and again."""
+    pairs, fault = some_links(fleet, rng), link_fault(rng)
+    for _ in range(rng.randint(3, 7)):
+        await on_links(fleet, rng, pairs, fault, rng.uniform(0.1, 1.5))
+        await asyncio.sleep(rng.uniform(0.05, 1))
+
+
+async def divide(fleet, rng, group):
+    """Cuts a group of processes off from all others and from the store. The
+    two end by themselves."""
+    others = [it.name for it in fleet.programs() if it.name not in group]
+    mode = rng.choice(["reset", "silent"])
+    fleet.record.add("divide", group=group, mode=mode)
+
+    async def no_store():
+        await asyncio.sleep(rng.uniform(0, SPLIT_START_S))
+        with impaired(fleet, "store"), fleet.store.away(group, mode):
+            await asyncio.sleep(rng.uniform(*SPLIT_S))
+
+    async def no_links():
+        await asyncio.sleep(rng.uniform(0, SPLIT_START_S))
+        await on_links(
+            fleet, rng, fleet.network.between(group, others),
+            rng.choice([LinkFault("cut"), LinkFault("cut"),
+                        LinkFault("reset")]), rng.uniform(*SPLIT_S))
+
+    await asyncio.gather(no_store(), no_links())
+
+
+async def split(fleet, rng):
+    """The planner keeps one agent or two, and no store."""
+    await divide(fleet, rng, [fleet.planner().name] + rng.sample(
+        list(fleet.agents), rng.choice([1, 1, 2])))
+
+
+async def split_any(fleet, rng):
+    """Any part of the processes is divided from the others."""
+    names = [it.name for it in fleet.programs()]
+    await divide(fleet, rng, rng.sample(names, rng.randint(1, len(names) - 1)))
+
+
 FAULT_WEIGHTS = {
     one_program: 3, planner: 3, series: 3, crash: 3, crash_later: 2,
     replace: 1, power: 2, leave: 2, slow: 1, unanswered: 4, cut: 2, grey: 1,
     idle_close: 1,
     store_away: 3, store_slow: 1, store_loses: 2, store_forgets: 1,
     configure: 1,
+    links: 4, links_flap: 2,
 }
 
 
 def plan(rng, seconds):
-    """@return the moments and kinds of faults: storms with calm between."""
-    out = []
+    """@return the moments and kinds of faults: storms with calm between. The
+    first storm begins with a split, and most others do."""
     at = rng.uniform(1, 4)
+    out = [(at, split)]
     while at < seconds - 5:
+        if out[-1][0] < at and rng.random() < SPLIT_SHARE:
+            out.append((at, rng.choice([split, split, split_any])))
         length = min(rng.uniform(*STORM_S), seconds - at)
         for _ in range(rng.randint(*FAULTS)):
             kind = rng.choices(list(FAULT_WEIGHTS),
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -6,6 +6,7 @@
 
 import harness
 from harness import SERVICE, NotReady, Record, call, now_ms
+from network import Network
 from rules import CALM_MS, Judge
 from standins import SoakExecutor, SoakProgram, SoakStore
 
@@ -43,7 +44,8 @@
         self.entry_count = entries
         self.vm_count = vms
         self.history = Judge(self, now_ms)
-        self.store = SoakStore(self.record, rng)
+        self.network = Network()
+        self.store = SoakStore(self.record, rng, self.network)
         self.durations = {}
         self.fail_share = 0.05
         self.traffic = True
@@ -169,6 +171,7 @@
         front, ready, peer, metrics = (
             harness.free_port() for _ in range(4))
         store = await self.store.listen(name)
+        self.network.add(name, peer, True)
         host = harness.HOST
         self.entries.append(Entry(name, [
             str(self.bin / "almondtally"), "schedule", "--id", name,
@@ -193,6 +196,7 @@
         executor.control_port, peer, metrics = (
             harness.free_port() for _ in range(3))
         store = await self.store.listen(name)
+        self.network.add(name, peer, False)
         host = harness.HOST
         self.executors.append(executor)
         self.agents[name] = SoakProgram(name, [
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -1,6 +1,7 @@
 """The store, the executors and the programs of a soak run, with faults."""
 
 import asyncio
+import base64
 import bisect
 import contextlib
 import fcntl
@@ -15,6 +16,8 @@
 from harness import Executor, HttpServer, Store, now_ms  # noqa: E402
 
 SILENCE_S = 30
+# The tables whose rows hold addresses of processes.
+ADDRESS_TABLES = ("agents", "head")
 GRACE_S = 6
 # Mean time after which a task that lasts fails by itself.
 LASTING_MEAN_S = 60
@@ -69,11 +72,12 @@
 
 class SoakStore(Store):
     """Serves each process on a port of its own, so that it can be away for
-    some of them only."""
+    some of them only, and shows each the addresses of its own links."""
 
-    def __init__(self, record, rng):
+    def __init__(self, record, rng, network):
         super().__init__(record)
         self.rng = rng
+        self.network = network
         self.ports = {}
         self.servers = {}
         self.modes = {}
@@ -92,15 +96,34 @@
         await server.start(self.ports[name])
         return self.ports[name]
 
-    def set_mode(self, name, mode):
-        """@param mode "", "reset", "silent" or "busy"."""
-        self.modes[name] = mode
-        if mode == "reset":
-            for writer in list(self.servers[name].writers):
-                writer.transport.abort()
+    @contextlib.contextmanager
+    def away(self, names, mode):
+        """The store is away for some processes.
+        @param mode "reset", "silent" or "busy"."""
+        for name in names:
+            self.modes.setdefault(name, []).append(mode)
+            if mode == "reset":
+                for writer in list(self.servers[name].writers):
+                    writer.transport.abort()
+        try:
+            yield
+        finally:
+            for name in names:
+                self.modes[name].remove(mode)
+
+    def mode(self, name):
+        """@return the newest of the ways in which the store is away."""
+        return (self.modes.get(name) or [""])[-1]
+
+    def translate(self, viewer, rows):
+        for row in rows:
+            if row.get("table") in ADDRESS_TABLES and "value" in row:
+                value = base64.b64decode(row["value"])
+                row["value"] = base64.b64encode(
+                    self.network.translate(viewer, value)).decode()
 
     async def serve(self, name, request):
-        mode = self.modes.get(name, "")
+        mode = self.mode(name)
         if mode == "reset":
             return None
         if mode == "silent":
@@ -110,11 +133,15 @@
             return 503, {}
         if self.delay_s:
             await asyncio.sleep(self.delay_s * self.rng.uniform(0.5, 1.5))
-        if request.path == "/rows-tx" and self.lose and (
-                self.rng.random() < self.lose_share):
-            return await self.lose_answer(request)
+        if request.path == "/rows-tx":
+            body = request.json()
+            self.translate("", body.get("writes", []))
+            request.json = lambda: body
+            if self.lose and self.rng.random() < self.lose_share:
+                return await self.lose_answer(request)
         answer = await self.handle(request)
-        mode = self.modes.get(name, "")
+        self.translate(name, answer[1].get("rows", []))
+        mode = self.mode(name)
         if mode == "silent":
             await asyncio.sleep(SILENCE_S)
         return None if mode in ("reset", "silent") else answer
