--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,8 @@
 SPLIT_S = (8, 12)
 SPLIT_START_S = 1.5
 SPLIT_SHARE = 0.7
+# Of the splits in which the planner has no other fault.
+SPARED_SHARE = 0.7
 
 
 @contextlib.contextmanager
@@ -321,12 +323,19 @@
     await asyncio.gather(no_store(), no_links())
 
 
-async def split(fleet, rng):
-    """The planner keeps one agent or two, and no store."""
-    await divide(fleet, rng, [fleet.planner().name] + rng.sample(
+async def divided(fleet, rng, entry):
+    """An entry keeps one agent or two, and no store."""
+    await divide(fleet, rng, [entry.name] + rng.sample(
         list(fleet.agents), rng.choice([1, 1, 2])))
 
 
+async def split(fleet, rng):
+    if rng.random() < SPARED_SHARE:
+        await on_program(fleet, rng, divided, fleet.planner())
+    else:
+        await divided(fleet, rng, fleet.planner())
+
+
 async def split_any(fleet, rng):
     """Any part of the processes is divided from the others."""
     names = [it.name for it in fleet.programs()]
