--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "planner/detail.h"
+#include "sched/ownership.h"
 
 namespace almondtally::sched {
 namespace {
@@ -151,7 +152,7 @@
 void Planner::AnswerProvenAbsences() {
   std::vector<AbsenceWaiter> proven;
   std::erase_if(absence_waiters_, [&](AbsenceWaiter& waiter) {
-    if (waiter.arrived_at > board_.ownership_proven_at) return false;
+    if (!IsOwnershipProvenSince(board_, waiter.arrived_at)) return false;
     proven.push_back(std::move(waiter));
     return true;
   });
