--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -31,6 +31,8 @@
   /// How long a serving task may exceed its tail latency target while fillers
   /// run on the same VM.
   Duration tail_limit = kDefaultTailLimit;
+  /// @return Unix time in ms. Tests replace it.
+  std::function<int64_t()> wall_clock = WallClockMillis;
 };
 
 /// The process that plans a shard.
--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -13,15 +13,26 @@
 constexpr int kPort = 7000;
 const ServiceId kService{"pool"};
 
-std::string Describe(const SimulatedRun& run) {
-  return ToString(run.task) + " run " + std::to_string(run.run.value) +
-         " on vm" + std::to_string(run.vm) + " from " +
-         std::to_string(run.started_at.time_since_epoch().count()) + " ms" +
-         (run.ended_at
-              ? " to " +
-                    std::to_string(run.ended_at->time_since_epoch().count()) +
-                    " ms, " + std::string(ToString(run.end))
-              : "");
+/// Reading of the processes' clocks at the start of the simulation.
+constexpr Duration kClockAtStart{1'000'000};
+constexpr int64_t kUnixMsAtStart = 1'800'000'000'000;
+/// A worker shortens longer leases.
+constexpr Duration kMaxHold{10'000};
+/// How long a task of a gang waits for the others.
+constexpr Duration kGangTimeout{3'000};
+/// As in the agent.
+constexpr Duration kPlannerSilence{3'000};
+constexpr Duration kRowCheckInterval{2'000};
+constexpr Duration kRowWriteRetryDelay{300};
+
+bool CanRead(StoreLink link) {
+  return link == StoreLink::kUp || link == StoreLink::kAppliedLate;
+}
+
+/// @return the first task of the same step.
+TaskKey FirstOfStep(TaskKey task) {
+  task.index = 0;
+  return task;
 }
 
 }  // namespace
@@ -33,9 +44,10 @@
       store(fleet.MakeStore(loop, EntryAddress(number))),
       planner(loop, links, store, fleet.metrics_,
               {EntryId("entry" + std::to_string(number)), EntryAddress(number),
-               Duration(0), MilliCpu(0), Duration(120'000)}),
+               Duration(0), MilliCpu(0), Duration(120'000), kDefaultTailLimit,
+               [&fleet] { return fleet.unix_ms(); }}),
       gateway(loop, links, planner) {
-  Pause(loop.clock_for_tests());
+  fleet.StartClock(loop);
   links.SetTransport(
       [&fleet, number, process](const Address& to, const char* path,
                                 const std::string& bytes, Duration timeout,
@@ -56,6 +68,7 @@
     vms_[i].worker.id = WorkerId("worker" + std::to_string(i));
     vms_[i].worker.born_at = now_;
     StartAgent(i);
+    vms_[i].agent->row_written = true;
   }
   for (size_t i = 0; i < entries; ++i) {
     entries_.push_back(std::make_unique<Entry>(*this, i, ++last_process_));
@@ -77,6 +90,11 @@
 void SimulatedFleet::Advance(Duration by) {
   for (const MonotonicTime end = now_ + by; now_ < end;) {
     now_ += kStep;
+    std::erase_if(late_commits_, [&](const LateCommit& it) {
+      if (now_ < it.due_at) return false;
+      memory_.Apply(it.rows);
+      return true;
+    });
     for (auto& entry : entries_) {
       almondtally::Advance(entry->loop.clock_for_tests(), kStep);
       if (!entry->frozen) entry->loop.RunDueTimers();
@@ -92,6 +110,16 @@
   }
 }
 
+int64_t SimulatedFleet::unix_ms() const {
+  return kUnixMsAtStart + now_.time_since_epoch().count();
+}
+
+void SimulatedFleet::StartClock(EventLoop& loop) const {
+  Clock& clock = loop.clock_for_tests();
+  Pause(clock);
+  clock.paused_at = now_ + kClockAtStart;
+}
+
 void SimulatedFleet::CutBothWays(const Address& a, const Address& b) {
   Cut(a, b);
   Cut(b, a);
@@ -107,7 +135,13 @@
 
 void SimulatedFleet::Call(size_t entry, const JobCall& call, Duration timeout,
                           Planner::AnswerFn fn) {
-  entries_[entry]->gateway.Call(call, timeout, std::move(fn));
+  if (call.verb == JobVerb::kSubmit) specs_[call.job] = call.spec;
+  EventLoop& loop = entries_[entry]->loop;
+  loop.RunAfter(kLinkDelay, [this, call, timeout, fn = std::move(fn), entry,
+                             process = entries_[entry]->process] {
+    Entry* const it = FindEntry(entry, process);
+    if (it != nullptr) it->gateway.Call(call, timeout, fn);
+  });
 }
 
 void SimulatedFleet::RestartEntry(size_t entry) {
@@ -134,6 +168,7 @@
   for (const auto& [task, index] : worker.running) {
     runs_[index].ended_at = now_;
     runs_[index].end = RunEnd::kWorkerLost;
+    LeaveGang(index);
   }
   const WorkerId id = worker.id;
   worker = {};
@@ -164,6 +199,13 @@
       return;
     }
     loop.RunAfter(kStoreDelay, [this, &loop, process, tx, fn] {
+      if (LinkToStore(process) == StoreLink::kAppliedLate) {
+        late_commits_.push_back({now_ + late_commit_delay_, tx});
+        loop.RunAfter(kStoreTimeout, [fn] {
+          fn({PlatformError::kUnknown, {}, {}, "late"});
+        });
+        return;
+      }
       store_.commit(tx, [&](const StoreCommitResult& result) {
         const bool lost = LinkToStore(process) != StoreLink::kUp;
         loop.RunAfter(lost ? kStoreTimeout : kStoreDelay, [result, lost, fn] {
@@ -178,7 +220,7 @@
                  const std::string& from, const Store::ReadFn& fn) {
     loop.RunAfter(kStoreDelay, [this, &loop, process, table, partition, from,
                                 fn] {
-      if (LinkToStore(process) != StoreLink::kUp) {
+      if (!CanRead(LinkToStore(process))) {
         return fn(std::nullopt, {PlatformError::kUnreachable, "cut"});
       }
       store_.read(
@@ -192,7 +234,7 @@
                                        RowVersion after, Duration,
                                        const Store::FeedFn& fn) {
     loop.RunAfter(kFeedInterval, [this, process, table, after, fn] {
-      if (LinkToStore(process) != StoreLink::kUp) {
+      if (!CanRead(LinkToStore(process))) {
         return fn(FeedStatus::kFailed, {});
       }
       StoreRows changed;
@@ -271,7 +313,8 @@
 
 void SimulatedFleet::StartAgent(size_t vm) {
   auto agent = std::make_unique<Agent>();
-  Pause(agent->loop.clock_for_tests());
+  StartClock(agent->loop);
+  agent->store = MakeStore(agent->loop, AgentAddress(vm));
   agent->table.life = AgentIncarnation(++last_process_);
   agent->table.started_at = agent->loop.now();
   vms_[vm].agent = std::move(agent);
@@ -288,6 +331,42 @@
   ReceiveWorkerHello(agent.table, agent.loop.now(), hello);
 }
 
+void SimulatedFleet::EnsureRowIsValid(size_t vm) {
+  Agent& agent = *vms_[vm].agent;
+  const MonotonicTime now = agent.loop.now();
+  if (agent.store_call_in_flight || now < agent.next_row_check_at) return;
+  if (!agent.row_written) return WriteAgentRow(vm);
+  if (now - agent.table.last_request_at < kPlannerSilence) return;
+  agent.next_row_check_at = now + kRowCheckInterval;
+  agent.store_call_in_flight = true;
+  agent.store.read(
+      table::kAgents, "shard-0", VmIdOf(vm).value,
+      [&agent, vm](std::optional<StoreRows> rows, const PlatformReason&) {
+        agent.store_call_in_flight = false;
+        if (!rows) return;
+        agent.row_written = std::any_of(rows->rows.begin(), rows->rows.end(),
+                                        [&](const StoreRow& row) {
+                                          return row.at.key == VmIdOf(vm).value;
+                                        });
+        if (!agent.row_written) agent.next_row_check_at = {};
+      });
+}
+
+void SimulatedFleet::WriteAgentRow(size_t vm) {
+  Agent& agent = *vms_[vm].agent;
+  agent.store_call_in_flight = true;
+  StoreTransaction rows;
+  rows.puts.push_back({{table::kAgents, "shard-0", VmIdOf(vm).value},
+                       EncodeRow(AgentRow{ToString(AgentAddress(vm)), {}})});
+  agent.store.commit(rows, [&agent](const StoreCommitResult& result) {
+    agent.store_call_in_flight = false;
+    agent.row_written = result.error == PlatformError::kNone;
+    agent.next_row_check_at = agent.loop.now() + kPlannerSilence;
+    if (!agent.row_written)
+      agent.next_row_check_at = agent.loop.now() + kRowWriteRetryDelay;
+  });
+}
+
 void SimulatedFleet::HandleSync(size_t vm, const std::string& bytes,
                                 const PeerLinks::BytesCallback& reply) {
   Agent& agent = *vms_[vm].agent;
@@ -326,12 +405,17 @@
     const bool runs = it != worker.running.end() &&
                       runs_[it->second].run == call.run && !fenced;
     if (runs) EndRun(worker, it->second, RunEnd::kStopped);
+    if (!runs && !fenced) {
+      RunNumber& ended = worker.ended[call.task];
+      ended = std::max(ended, call.run);
+    }
     FinishStopCall(agent.table, now, call,
                    {fenced ? CallOutcome::kFenced : CallOutcome::kOk, ""});
   }
   Renew(vm);
   ExpireLeases(agent.table, now);
   AnswerSyncs(agent);
+  EnsureRowIsValid(vm);
 }
 
 void SimulatedFleet::Renew(size_t vm) {
@@ -353,9 +437,8 @@
   }
   worker.fencing = call.call.fencing;
   if (call.call.lease_until_ms > 0) {
-    worker.lease_until =
-        std::max(worker.lease_until,
-                 worker.born_at + Duration(call.call.lease_until_ms));
+    worker.lease_until = std::max(worker.lease_until,
+                                  LeaseEnd(worker, call.call.lease_until_ms));
   }
   Acknowledge(worker, call.recorded);
   ApplyWorkerListing(agent.table, now, call, List(worker, call.recorded));
@@ -363,6 +446,11 @@
 
 // Workers.
 
+MonotonicTime SimulatedFleet::LeaseEnd(const Worker& worker,
+                                       int64_t lease_until_ms) const {
+  return std::min(worker.born_at + Duration(lease_until_ms), now_ + kMaxHold);
+}
+
 WorkerListing SimulatedFleet::List(const Worker& worker,
                                    uint64_t acknowledged) const {
   WorkerListing out;
@@ -397,32 +485,37 @@
   Worker& worker = vms_[vm].worker;
   if (call.call.fencing < worker.fencing) return {CallOutcome::kFenced, ""};
   worker.fencing = call.call.fencing;
-  const MonotonicTime lease_until =
-      worker.born_at + Duration(call.call.lease_until_ms);
+  const MonotonicTime lease_until = LeaseEnd(worker, call.call.lease_until_ms);
   worker.lease_until = std::max(worker.lease_until, lease_until);
   if (lease_until <= now_) return {CallOutcome::kRejected, "late"};
-  if (worker.running.contains(call.start.task)) {
-    return {CallOutcome::kRejected, "old"};
+  const auto running = worker.running.find(call.start.task);
+  if (running != worker.running.end() &&
+      runs_[running->second].run == call.start.run) {
+    return {};
   }
+  const auto ended = worker.ended.find(call.start.task);
+  const bool is_old =
+      running != worker.running.end() ||
+      (ended != worker.ended.end() && ended->second >= call.start.run);
+  if (is_old) return {CallOutcome::kRejected, "old"};
   SimulatedRun run;
   run.task = call.start.task;
   run.run = call.start.run;
   run.vm = vm;
   run.started_at = now_;
-  if (fate_) {
+  const StepSpec* const spec = FindSpec(run.task);
+  const bool is_gang = spec != nullptr && spec->gang;
+  if (is_gang) {
+    run.end = RunEnd::kGangIncomplete;
+    run.due_at = now_ + kGangTimeout;
+  } else if (fate_) {
     const auto [end, after] = fate_(run.task, run.run);
     run.end = end;
     if (after) run.due_at = now_ + *after;
   }
-  for (const SimulatedRun& other : runs_) {
-    if (other.task != run.task) continue;
-    if (!other.ended_at) ReportDoubled("two runs at once", other, run);
-    const bool is_final = other.ended_at && other.end == RunEnd::kDone &&
-                          other.acknowledged && !other.lapsed_after_end;
-    if (is_final) ReportDoubled("started after an end as done", other, run);
-  }
   worker.running[run.task] = runs_.size();
   runs_.push_back(run);
+  if (is_gang) JoinGang(runs_.size() - 1);
   return {};
 }
 
@@ -432,7 +525,49 @@
   run.end = end;
   run.end_number = ++worker.last_end;
   worker.running.erase(run.task);
+  worker.ended[run.task] = run.run;
   worker.unacknowledged.push_back(index);
+  LeaveGang(index);
+}
+
+const StepSpec* SimulatedFleet::FindSpec(const TaskKey& task) const {
+  const auto it = specs_.find(task.job);
+  if (it == specs_.end() || task.step >= it->second.steps.size())
+    return nullptr;
+  return &it->second.steps[task.step];
+}
+
+void SimulatedFleet::JoinGang(size_t index) {
+  const SimulatedRun& run = runs_[index];
+  const TaskKey first = FirstOfStep(run.task);
+  std::vector<size_t>& members = gang_runs_[{first, run.run}].members;
+  members.push_back(index);
+  const bool is_complete =
+      members.size() == FindSpec(run.task)->count &&
+      std::none_of(members.begin(), members.end(),
+                   [&](size_t it) { return runs_[it].ended_at.has_value(); });
+  if (!is_complete) return;
+  std::pair<RunEnd, std::optional<Duration>> fate{RunEnd::kDone, std::nullopt};
+  if (fate_) fate = fate_(first, run.run);
+  for (const size_t it : members) {
+    runs_[it].due_at = fate.second ? now_ + *fate.second : MonotonicTime::max();
+    runs_[it].end = fate.first;
+    // The failure of one task breaks off the others.
+    if (fate.first == RunEnd::kFailed && it != index)
+      runs_[it].end = RunEnd::kGangBroken;
+  }
+}
+
+void SimulatedFleet::LeaveGang(size_t index) {
+  const SimulatedRun& run = runs_[index];
+  if (run.end == RunEnd::kDone) return;
+  const auto gang = gang_runs_.find({FirstOfStep(run.task), run.run});
+  if (gang == gang_runs_.end()) return;
+  for (const size_t it : gang->second.members) {
+    if (runs_[it].ended_at || runs_[it].due_at <= now_) continue;
+    runs_[it].end = RunEnd::kGangBroken;
+    runs_[it].due_at = now_;
+  }
 }
 
 void SimulatedFleet::Acknowledge(Worker& worker, uint64_t number) {
@@ -440,19 +575,8 @@
     SimulatedRun& run = runs_[index];
     if (run.end_number > number) return false;
     run.acknowledged = true;
-    if (run.end != RunEnd::kDone || run.lapsed_after_end) return true;
-    for (const SimulatedRun& later : runs_) {
-      if (later.task == run.task && later.started_at > *run.ended_at)
-        ReportDoubled("started after an end as done", run, later);
-    }
     return true;
   });
 }
 
-void SimulatedFleet::ReportDoubled(const std::string& what,
-                                   const SimulatedRun& first,
-                                   const SimulatedRun& second) {
-  doubled_.push_back(what + ": " + Describe(first) + "; " + Describe(second));
-}
-
 }  // namespace almondtally::sched
--- a/tests/planner/simulated_fleet.h
+++ b/tests/planner/simulated_fleet.h
@@ -14,25 +14,10 @@
 #include "planner/gateway.h"
 #include "planner/memory_store.h"
 #include "planner/planner.h"
+#include "planner/run_judge.h"
 
 namespace almondtally::sched {
 
-/// A run as its worker saw it. Times are those of the simulation.
-struct SimulatedRun {
-  TaskKey task;
-  RunNumber run;
-  size_t vm = 0;
-  MonotonicTime started_at{};
-  /// When the run ends by itself.
-  MonotonicTime due_at = MonotonicTime::max();
-  std::optional<MonotonicTime> ended_at;
-  RunEnd end = RunEnd::kDone;
-  uint64_t end_number = 0;
-  /// The lease lapsed after the end, before the end was acknowledged.
-  bool lapsed_after_end = false;
-  bool acknowledged = false;
-};
-
 /// What a process gets from the store.
 enum class StoreLink : uint8_t {
   kUp,
@@ -40,6 +25,9 @@
   kUnreachable,
   /// Calls are carried out, but their answers are lost.
   kAnswersLost,
+  /// Commits are not answered, and are carried out later if their conditions
+  /// then hold.
+  kAppliedLate,
 };
 
 /// Entries, agents and their workers, each process with an event loop of its
@@ -66,15 +54,23 @@
   void SetStoreLink(const Address& process, StoreLink link) {
     store_links_[process] = link;
   }
+  void HealStoreLinks() { store_links_.clear(); }
+  /// Sets after which time commits are carried out under kAppliedLate.
+  void SetLateCommitDelay(Duration delay) { late_commit_delay_ = delay; }
+  /// @return Unix time in ms; the same on all machines.
+  int64_t unix_ms() const;
 
   Planner& planner(size_t entry) { return entries_[entry]->planner; }
   /// @return the entries whose processes plan the shard.
   std::vector<size_t> ListPlanners() const;
-  /// Hands a caller's request to an entry.
+  /// Hands a caller's request to an entry. There is no answer if the process of
+  /// the entry ends meanwhile.
   void Call(size_t entry, const JobCall& call, Duration timeout,
             Planner::AnswerFn fn);
   /// Ends the process of an entry and starts another one.
   void RestartEntry(size_t entry);
+  /// Makes the process of an entry stop planning, as before a planned end.
+  void ReleaseShard(size_t entry) { entries_[entry]->planner.ReleaseShard(); }
   /// A frozen process does nothing. It answers what it received meanwhile once
   /// it is thawed.
   void SetFrozen(const Address& process, bool frozen);
@@ -84,7 +80,8 @@
   void RestartWorker(size_t vm);
 
   /// Decides how a run ends and after which time, or, without a time, that it
-  /// runs until it is stopped.
+  /// runs until it is stopped. Called for the first task of a gang once all its
+  /// tasks run.
   using FateFn = std::function<std::pair<RunEnd, std::optional<Duration>>(
       const TaskKey&, RunNumber)>;
   void SetFate(FateFn fate) { fate_ = std::move(fate); }
@@ -94,7 +91,7 @@
   size_t CountRunning(size_t vm) const;
   /// @return what broke the rule that a task runs on one VM at a time, and is
   /// not started again after an end as done that was acknowledged.
-  const std::vector<std::string>& doubled() const { return doubled_; }
+  std::vector<std::string> doubled() const { return FindDoubledRuns(runs_); }
 
  private:
   struct Entry {
@@ -118,6 +115,10 @@
   struct Agent {
     EventLoop loop;
     RunTable table;
+    Store store;
+    bool row_written = false;
+    bool store_call_in_flight = false;
+    MonotonicTime next_row_check_at{};
     std::optional<RenewCall> renewal;
     std::vector<PendingSync> pending;
     bool frozen = false;
@@ -131,9 +132,25 @@
     uint64_t last_end = 0;
     /// Indexes into `runs_`.
     std::map<TaskKey, size_t> running;
+    /// Highest run of each task that was ended or stopped here; it and lower
+    /// ones do not start.
+    std::map<TaskKey, RunNumber> ended;
     std::vector<size_t> unacknowledged;
   };
 
+  /// One run of all tasks of a gang.
+  struct GangRun {
+    /// Indexes into `runs_`.
+    std::vector<size_t> members;
+  };
+  /// First task of the gang.
+  using GangRunKey = std::pair<TaskKey, RunNumber>;
+
+  struct LateCommit {
+    MonotonicTime due_at{};
+    StoreTransaction rows;
+  };
+
   struct Vm {
     std::unique_ptr<Agent> agent;
     Worker worker;
@@ -153,6 +170,8 @@
 
   void StartAgent(size_t vm);
   void Announce(size_t vm);
+  void EnsureRowIsValid(size_t vm);
+  void WriteAgentRow(size_t vm);
   void HandleSync(size_t vm, const std::string& bytes,
                   const PeerLinks::BytesCallback& reply);
   void AnswerSyncs(Agent& agent);
@@ -164,8 +183,12 @@
   void EndRun(Worker& worker, size_t index, RunEnd end);
   void Acknowledge(Worker& worker, uint64_t number);
   WorkerListing List(const Worker& worker, uint64_t acknowledged) const;
-  void ReportDoubled(const std::string& what, const SimulatedRun& first,
-                     const SimulatedRun& second);
+  MonotonicTime LeaseEnd(const Worker& worker, int64_t lease_until_ms) const;
+  const StepSpec* FindSpec(const TaskKey& task) const;
+  void JoinGang(size_t index);
+  void LeaveGang(size_t index);
+  /// Sets the clock of a new process.
+  void StartClock(EventLoop& loop) const;
 
   MonotonicTime now_;
   MemoryStore memory_;
@@ -180,8 +203,11 @@
   std::vector<Vm> vms_;
   uint64_t last_process_ = 0;
   FateFn fate_;
+  std::map<JobId, JobSpec> specs_;
   std::deque<SimulatedRun> runs_;
-  std::vector<std::string> doubled_;
+  std::map<GangRunKey, GangRun> gang_runs_;
+  Duration late_commit_delay_{};
+  std::vector<LateCommit> late_commits_;
 };
 
 }  // namespace almondtally::sched
