--- a/source/planner/commits.cc
+++ b/source/planner/commits.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "planner/detail.h"
 #include "planner/planner.h"
+#include "sched/ownership.h"
 
 // Commits to the store, one at a time: accepted jobs, progress, deletions.
 
@@ -66,15 +67,16 @@
   if (store_failed_ && since_last_commit < kCommitRetryDelay) return;
   const bool urgent =
       !pending_submissions_.empty() || !change_waiters_.empty() ||
+      AwaitsProof(board_, now) ||
       std::any_of(board_.dirty.begin(), board_.dirty.end(),
                   [&](const auto& id) {
                     const auto it = board_.jobs.find(id);
                     return it != board_.jobs.end() &&
                            it->second.state != it->second.recorded;
                   });
-  const bool progress_due =
-      (!board_.dirty.empty() || HasUnprovenRows(board_)) &&
-      since_last_commit >= kProgressBatchDelay;
+  const bool progress_due = (!board_.dirty.empty() || HasUnprovenRows(board_) ||
+                             !absence_waiters_.empty()) &&
+                            since_last_commit >= kProgressBatchDelay;
   if (!urgent && !progress_due && since_last_commit < kHeartbeatInterval)
     return;
 
@@ -204,6 +206,7 @@
   });
   const JobAnswer ok = MakeAnswer(JobVerdict::kOk);
   for (auto& fn : fns) fn(ok);
+  AnswerProvenAbsences();
   SchedulePlanning();
 }
 
--- a/tests/sched/shard_state_builder.h
+++ b/tests/sched/shard_state_builder.h
@@ -85,6 +85,7 @@
   SyncRequest request;
   if (HasUnsentOrders(vm)) CollectOrders(shard, vm, request);
   SyncReport report = Report(vm, vm.worker.capacity.cpu.value);
+  report.stamp = AgentTime(now.time_since_epoch().count());
   for (const auto& [task, run] : vm.runs) {
     report.runs.push_back(Running(task, run.run));
   }
@@ -102,7 +103,9 @@
   ApplyReport(shard, now, vm, report, log);
 }
 
+/// Runs a planning pass of a planner that owns the shard.
 inline void Place(ShardState& shard, MonotonicTime now = kNow) {
+  shard.ownership_proven_at = now;
   Decisions log;
   PlaceTasks(shard, now, log);
 }
