--- a/tests/planner/partition_test.cc
+++ b/tests/planner/partition_test.cc
@@ -573,8 +573,7 @@
           std::stoull(range.substr(colon + 1))};
 }
 
-TEST_CASE("planners and agents keep the rules under random partitions" *
-          doctest::skip()) {
+TEST_CASE("planners and agents keep the rules under random partitions") {
   const auto [first, count] = SeedRange();
   const bool minimise =
       std::getenv("ALMONDTALLY_PARTITION_MINIMISE") != nullptr;
