--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -336,7 +336,7 @@
   const MonotonicTime now = agent.loop.now();
   if (agent.store_call_in_flight || now < agent.next_row_check_at) return;
   if (!agent.row_written) return WriteAgentRow(vm);
-  if (now - agent.table.last_request_at < kPlannerSilence) return;
+  if (now - agent.table.last_grant_at < kPlannerSilence) return;
   agent.next_row_check_at = now + kRowCheckInterval;
   agent.store_call_in_flight = true;
   agent.store.read(
