--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -15,8 +15,8 @@
 /// once while there are any, so renewals would otherwise run in a tight loop.
 constexpr Duration kRenewPause{15};
 constexpr Duration kRenewRetryDelay{100};
-/// An agent that no planner has granted a lease for this long checks whether its
-/// row is still in the store and readable.
+/// An agent that no planner has granted a lease for this long checks whether
+/// its row is still in the store and readable.
 constexpr Duration kPlannerSilence{3'000};
 constexpr Duration kRowCheckInterval{2'000};
 constexpr Duration kWriteRowRetryDelay{300};
