Send no start to a worker that may have started again

Cause: a start call carries the end of its lease on the worker's clock. A process that had started again under the id of the former one took it for a later time, up to 10 s from then, so that runs went on after the planner had counted the lease as ended. Renewals carry no lease while another process is announced; starts did.

Why it works: starts wait until the worker has answered the renewal that an announcement triggers at once. If the worker is another process they end as not started, and if nobody answers, when the order expires.

Open: a worker that starts again and has not announced itself yet.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -560,7 +560,8 @@
         EndRunLocally(table, it, RunEnd::kNotStarted, "lease too short");
       } else if (!no_room.empty()) {
         EndRunLocally(table, it, RunEnd::kNotStarted, no_room);
-      } else {
+      } else if (!table.unproven_hello) {
+        // The lease would be on the clock of a process that may be gone.
         reserved += AdmissionSize(run.order.size, run.order.filler);
         run.call_in_flight = true;
         run.call_fencing = table.fencing;
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -621,6 +621,32 @@
   CHECK(Ends(table)[0].end == RunEnd::kDone);
 }
 
+// Issue 42: the new process took a lease end on the clock of the former one for
+// a later time, and runs went on after the planner had given them up.
+TEST_CASE("no start is sent to a worker that may have started again") {
+  RunTable table = Ready();
+  const MonotonicTime now = kNow + Duration(10);
+  Order(table, {Start(kTask, 1)});
+  ReceiveWorkerHello(table, now, Hello("w", 200));
+  CHECK(BeginStartCalls(table, now).empty());
+  SUBCASE("it has") {
+    Renew(table, now, 200);
+    CHECK(BeginStartCalls(table, now).empty());
+    REQUIRE(Ends(table).size() == 1);
+    CHECK(Ends(table)[0].end == RunEnd::kNotStarted);
+  }
+  SUBCASE("it has not") {
+    Renew(table, now, 100);
+    CHECK(BeginStartCalls(table, now).size() == 1);
+  }
+  SUBCASE("it does not answer before the order expires") {
+    const MonotonicTime late = now + kLeaseGrantDuration;
+    CHECK(BeginStartCalls(table, late).empty());
+    REQUIRE(Ends(table).size() == 1);
+    CHECK(Ends(table)[0].reason == "lease too short");
+  }
+}
+
 // Regression test: a worker that had started again under its id was given a
 // lease on the clock of its former process, and told to forget ends that nobody
 // had read.
