State in ownership.h that proofs rule out successors only

The review read the comment as a claim about earlier planners, which end by themselves (EndOfEarlierLeases). Comments only.

--- a/source/sched/ownership.h
+++ b/source/sched/ownership.h
@@ -11,9 +11,10 @@
 // that its runs have stopped.
 //
 // A proof is a commit that was sent at or after the time in question: this
-// planner still owned the shard then, so no other planner had renewed a lease
-// or started a run before. Whatever ends, starts or forgets something because
-// time has passed asks the functions below, and not the clock.
+// planner still owned the shard then, so no successor had renewed a lease or
+// started a run before. Earlier planners stop by themselves; see
+// EndOfEarlierLeases. Whatever ends, starts or forgets something because time
+// has passed asks the functions below, and not the clock.
 
 namespace almondtally::sched {
 
@@ -25,11 +26,12 @@
 /// later. Implies that `time` has passed.
 bool IsOwnershipProvenSince(const ShardState& shard, MonotonicTime time);
 
-/// @return true if all leases of a VM that this planner has heard from have
-/// ended, and no other planner has renewed them.
+/// @return true if all leases that this planner has granted to a VM have ended,
+/// and no successor has renewed them.
 bool HaveLeasesEnded(const ShardState& shard, const VmEntity& vm);
-/// @return true if the leases of a VM have ended by the clock, and another
-/// planner may have renewed them.
+
+/// @return true if the leases of a VM have ended by the clock, and a successor
+/// may have renewed them.
 bool IsLeaseUnproven(const ShardState& shard, const VmEntity& vm,
                      MonotonicTime now);
 
