--- a/tests/planner/conclusions_test.cc
+++ b/tests/planner/conclusions_test.cc
@@ -9,19 +9,6 @@
 
 constexpr Duration kCallTimeout{3'000};
 
-JobCall Submit(const std::string& id) {
-  JobCall call;
-  call.verb = JobVerb::kSubmit;
-  call.job = JobId(id);
-  call.queue = QueueId("q");
-  call.spec.id = call.job;
-  call.spec.queue = call.queue;
-  call.spec.steps.resize(1);
-  call.spec.steps[0].each = {MilliCpu(1'000), Mebibytes(10), Accelerators(0)};
-  call.terms.service = ServiceId("pool");
-  return call;
-}
-
 JobCall CallAbout(const std::string& id, JobVerb verb) {
   JobCall call;
   call.verb = verb;
@@ -71,7 +58,8 @@
   SUBCASE("cancel") { call = CallAbout("j", JobVerb::kCancel); }
   entries.ReplacePlanner();
   Answers accepted;
-  entries.fleet.Call(1, Submit("j"), kCallTimeout, accepted.Fn());
+  entries.fleet.Call(1, MakeSubmission("j", 1, MilliCpu(1'000)), kCallTimeout,
+                     accepted.Fn());
   entries.fleet.Advance(Duration(100));
   REQUIRE(accepted.all.size() == 1);
   REQUIRE(accepted.all[0].verdict == JobVerdict::kOk);
@@ -90,7 +78,8 @@
   SUBCASE("cancel") { call = CallAbout("j", JobVerb::kCancel); }
   entries.ReplacePlanner();
   Answers accepted;
-  entries.fleet.Call(1, Submit("j"), kCallTimeout, accepted.Fn());
+  entries.fleet.Call(1, MakeSubmission("j", 1, MilliCpu(1'000)), kCallTimeout,
+                     accepted.Fn());
   entries.fleet.Advance(Duration(100));
   REQUIRE(accepted.all.size() == 1);
   Answers answers;
@@ -107,7 +96,8 @@
   TwoEntries entries;
   Answers accepted;
   Answers answers;
-  entries.fleet.Call(0, Submit("j"), kCallTimeout, accepted.Fn());
+  entries.fleet.Call(0, MakeSubmission("j", 1, MilliCpu(1'000)), kCallTimeout,
+                     accepted.Fn());
   entries.fleet.planner(0).Handle(CallAbout("j", JobVerb::kRead), answers.Fn());
   entries.fleet.Advance(Duration(500));
   REQUIRE(accepted.all.size() == 1);
--- a/tests/planner/replaced_planner_test.cc
+++ b/tests/planner/replaced_planner_test.cc
@@ -7,20 +7,6 @@
 
 constexpr Duration kCallTimeout{3'000};
 
-JobCall Submit(const std::string& id, uint32_t count) {
-  JobCall call;
-  call.verb = JobVerb::kSubmit;
-  call.job = JobId(id);
-  call.queue = QueueId("q");
-  call.spec.id = call.job;
-  call.spec.queue = call.queue;
-  call.spec.steps.resize(1);
-  call.spec.steps[0].count = count;
-  call.spec.steps[0].each = {MilliCpu(3'000), Mebibytes(10), Accelerators(0)};
-  call.terms.service = ServiceId("pool");
-  return call;
-}
-
 /// Two entries and two VMs, one of which runs two tasks. The first entry plans;
 /// it is then cut off from everything but the idle VM, and the second entry
 /// takes over with the other VM.
@@ -38,9 +24,10 @@
 
   void RunTasks() {
     bool accepted = false;
-    fleet.Call(0, Submit("j", 2), kCallTimeout, [&](const JobAnswer& answer) {
-      accepted = answer.verdict == JobVerdict::kOk;
-    });
+    fleet.Call(0, MakeSubmission("j", 2, MilliCpu(3'000)), kCallTimeout,
+               [&](const JobAnswer& answer) {
+                 accepted = answer.verdict == JobVerdict::kOk;
+               });
     fleet.Advance(Duration(1'000));
     REQUIRE(accepted);
     far = fleet.CountRunning(0) > 0 ? 0 : 1;
--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -37,6 +37,20 @@
 
 }  // namespace
 
+JobCall MakeSubmission(const std::string& id, uint32_t tasks, MilliCpu each) {
+  JobCall call;
+  call.verb = JobVerb::kSubmit;
+  call.job = JobId(id);
+  call.queue = QueueId("q");
+  call.spec.id = call.job;
+  call.spec.queue = call.queue;
+  call.spec.steps.resize(1);
+  call.spec.steps[0].count = tasks;
+  call.spec.steps[0].each = {each, Mebibytes(10), Accelerators(0)};
+  call.terms.service = kService;
+  return call;
+}
+
 SimulatedFleet::Entry::Entry(SimulatedFleet& fleet, size_t number,
                              uint64_t process)
     : process(process),
--- a/tests/planner/simulated_fleet.h
+++ b/tests/planner/simulated_fleet.h
@@ -30,6 +30,9 @@
   kAppliedLate,
 };
 
+/// @return the submission of a job with one step.
+JobCall MakeSubmission(const std::string& id, uint32_t tasks, MilliCpu each);
+
 /// Entries, agents and their workers, each process with an event loop of its
 /// own on a paused clock. Each direction of a link between two processes can be
 /// cut, and so can each process's link to the store.
