Allow for the drift of the worker's clock over the whole lease

Failure before: agent_test "answers without a lease do not shorten the allowance for drift", the run was ended 20 ms after the lease's end, while the worker's clock was 1.6 % slow.

What callers saw: two lasting tasks on two VMs at once, for 58 ms.

Cause: the agent counts a lease as ended with 3 % of the time between its latest reading of the worker's clock and the lease's end. Since a renewal may carry no lease, and its answer is a later reading, so that the allowance went to zero. The agent reported "lapsed" at 43.486 s, the worker ended the runs at 43.549 s.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -775,8 +775,10 @@
   if (!table.leases_in_flight.empty()) {
     sent_until = std::max(sent_until, *table.leases_in_flight.rbegin());
   }
-  const Duration drift =
-      (sent_until - table.clock_at) * kClockDriftPercent / 100;
+  // The lease may have been sent before the latest reading of the clock.
+  const Duration lease_duration =
+      std::max<Duration>(sent_until - table.clock_at, kLeaseGrantDuration);
+  const Duration drift = lease_duration * kClockDriftPercent / 100;
   if (now <= sent_until + drift) return;
   EndAllRunsAsLapsed(table, now);
   MarkComplete(table);
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -857,6 +857,30 @@
   CHECK(table.runs.empty());
 }
 
+// Issue 42: the agent counted a lease as ended 63 ms before its worker did,
+// since it had read the worker's clock without renewing the lease.
+TEST_CASE("answers without a lease do not shorten the allowance for drift") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  const MonotonicTime late = kNow + kLeaseGrantDuration - Duration(20);
+  const auto fail = [&] {
+    HandleRenewalFailure(table, late, *BeginRenewal(table, late),
+                         {CallOutcome::kRejected, "connect"});
+  };
+  fail();
+  const auto renewal = BeginRenewal(table, late);
+  REQUIRE(renewal->call.lease_until_ms == 0);
+  WorkerListing slow_clock = Listing(9'900);
+  slow_clock.running = {{kTask, RunNumber(1), "", 100, -1}};
+  ApplyWorkerListing(table, late, *renewal, slow_clock);
+  fail();
+  ExpireLeases(table, late + Duration(100));
+  CHECK(table.runs.size() == 1);
+  ExpireLeases(table, kNow + kLeaseGrantDuration + Duration(200));
+  CHECK(table.runs.empty());
+}
+
 TEST_CASE("an unanswered renewal may have extended the lease") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
