Do not start a run again that has ended on this VM

Cause: a planner that gets no answer sends an order again under a new batch. An agent that was frozen reads all copies one after the other. The worker answers 503 to the first start, so the run ends as not started and leaves RunTable::runs; the next copy of the same order passes ApplyStartOrder, which looks there only. One run number then has two ends, which contradict each other.

Change: the agent remembers the highest run number of a task that has ended on its VM, and ignores orders up to it: without limit while the planner has not recorded the end, and for kLeaseGrantDuration after that. The planner records an end after it has read a report with it, later orders have a later run number, and an earlier order expires with the lease it was sent under.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -42,6 +42,8 @@
             std::string checkpoint, std::string reason,
             uint64_t worker_number = 0, const CrashEvidence& crash = {}) {
   ++table.version;
+  EndedRun& ended = table.ended_runs[task];
+  if (run >= ended.run) ended = {run};
   UnrecordedEnd entry;
   entry.report = {++table.last_end,  task, run, end, std::move(checkpoint),
                   std::move(reason), crash};
@@ -231,11 +233,18 @@
   return CheckRoom(table, TotalAdmissionSize(table), order);
 }
 
+/// @return true if this run of the task, or a later one, has ended here.
+bool HasEnded(const RunTable& table, const TaskKey& task, RunNumber run) {
+  const auto it = table.ended_runs.find(task);
+  return it != table.ended_runs.end() && it->second.run >= run;
+}
+
 void ApplyStartOrder(RunTable& table, MonotonicTime now,
                      const StartOrder& order, MonotonicTime expires_at,
                      const WorkerId& target_worker) {
   const auto it = table.runs.find(order.task);
   if (it != table.runs.end() && it->second.order.run >= order.run) return;
+  if (HasEnded(table, order.task, order.run)) return;
   const MonotonicTime lease_until = std::min(table.lease_until, expires_at);
   std::string refusal =
       it != table.runs.end()
@@ -265,12 +274,22 @@
   run.stop_requested = true;
 }
 
-void DropRecordedEnds(RunTable& table, uint64_t recorded) {
+void DropRecordedEnds(RunTable& table, MonotonicTime now, uint64_t recorded) {
   while (!table.ends.empty() && table.ends.front().report.number <= recorded) {
+    const UnrecordedEnd& end = table.ends.front();
     table.worker_end_recorded =
-        std::max(table.worker_end_recorded, table.ends.front().worker_number);
+        std::max(table.worker_end_recorded, end.worker_number);
+    // The planner has read a report with this end, so that later orders have a
+    // later run. Earlier orders expire with the lease they were sent under.
+    EndedRun& ended = table.ended_runs[end.report.task];
+    if (ended.run == end.report.run) {
+      ended.remembered_until = now + kLeaseGrantDuration;
+    }
     table.ends.pop_front();
   }
+  std::erase_if(table.ended_runs, [&](const auto& it) {
+    return it.second.remembered_until < now;
+  });
 }
 
 void ApplyOrders(RunTable& table, MonotonicTime now,
@@ -503,7 +522,7 @@
   if (request.grant_ms > 0) table.last_grant_at = now;
   if (request.life != table.life) return true;
   table.fencing = std::max(table.fencing, request.fencing_base);
-  DropRecordedEnds(table, request.ends_recorded);
+  DropRecordedEnds(table, now, request.ends_recorded);
   if (request.stamp.value != 0) {
     const MonotonicTime granted{Duration(request.stamp.value) +
                                 Duration(request.grant_ms)};
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -56,6 +56,14 @@
   uint64_t worker_number = 0;
 };
 
+/// The highest run number of a task that has ended on this VM.
+struct EndedRun {
+  RunNumber run;
+  /// Copies of the order that started the run may arrive until then; latest
+  /// time while the planner has not recorded the end.
+  MonotonicTime remembered_until = MonotonicTime::max();
+};
+
 /// A run that ended because the worker was unresponsive until the leases
 /// expired. If the worker turns out to have crashed, the run is reported again
 /// with the evidence.
@@ -149,6 +157,9 @@
   /// Runs of the present worker process that lapsed since it last answered.
   std::vector<LapsedRun> lapsed;
   std::deque<UnrecordedEnd> ends;
+  /// A run that has ended is not started again: the planner repeats orders that
+  /// go unanswered, and the copies may be read after the end was reported.
+  std::map<TaskKey, EndedRun> ended_runs;
   /// For the log; the caller removes them.
   std::vector<SettledStart> settled_starts;
   uint64_t last_end = 0;
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -1112,6 +1112,77 @@
   }
 }
 
+/// Sends the order again as long as its lease may last, and requires that
+/// nothing is started and no end added.
+void RepeatOrder(RunTable& table, SyncRequest copy) {
+  ApplySyncRequest(table, kNow, copy);
+  const size_t unrecorded = table.ends.size();
+  for (Duration age{0}; age <= kLeaseGrantDuration; age += Duration(100)) {
+    ++copy.batch;
+    ApplySyncRequest(table, kNow + age, copy);
+    CHECK(BeginStartCalls(table, kNow + age).empty());
+    CHECK(table.ends.size() == unrecorded);
+  }
+}
+
+// Review case 6, TWICE: an agent that had been frozen read several copies of an
+// order, and carried out the second after the first had been refused.
+TEST_CASE("a run that was refused is not started by a copy of its order") {
+  RunTable table = Ready();
+  SyncRequest copy = Request(table, 1);
+  copy.starts = {Start(kTask, 2001)};
+  ApplySyncRequest(table, kNow, copy);
+  const auto calls = BeginStartCalls(table, kNow);
+  REQUIRE(calls.size() == 1);
+  FinishStartCall(table, kNow, calls[0],
+                  {CallOutcome::kRejected, "status 503 "});
+  SUBCASE("the end is not recorded") {}
+  SUBCASE("the end is recorded") { copy.ends_recorded = 1; }
+  RepeatOrder(table, copy);
+}
+
+// The worker itself may have forgotten the run: it has started again.
+TEST_CASE("a run that is done is not started by a copy of its order") {
+  RunTable table = Ready();
+  SyncRequest copy = Request(table, 1);
+  copy.starts = {Start(kTask, 1)};
+  ApplySyncRequest(table, kNow, copy);
+  const auto calls = BeginStartCalls(table, kNow);
+  REQUIRE(calls.size() == 1);
+  FinishStartCall(table, kNow, calls[0], {});
+  const auto renewal = BeginRenewal(table, kNow);
+  WorkerListing listing = Listing();
+  listing.ended.push_back({1, kTask, RunNumber(1), RunEnd::kDone, ""});
+  ApplyWorkerListing(table, kNow, *renewal, listing);
+  SUBCASE("the end is not recorded") {}
+  SUBCASE("the end is recorded") { copy.ends_recorded = 1; }
+  RepeatOrder(table, copy);
+}
+
+TEST_CASE("a later run of a task whose run has ended is started") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  const auto calls = BeginStartCalls(table, kNow);
+  FinishStartCall(table, kNow, calls[0],
+                  {CallOutcome::kRejected, "status 503 "});
+  Order(table, {Start(kTask, 2)});
+  CHECK(BeginStartCalls(table, kNow).size() == 1);
+}
+
+TEST_CASE("ended runs are forgotten once no copy of their order can arrive") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  const auto calls = BeginStartCalls(table, kNow);
+  FinishStartCall(table, kNow, calls[0],
+                  {CallOutcome::kRejected, "status 503 "});
+  SyncRequest request = Request(table);
+  request.ends_recorded = 1;
+  ApplySyncRequest(table, kNow, request);
+  CHECK(table.ended_runs.size() == 1);
+  ApplySyncRequest(table, kNow + kLeaseGrantDuration + Duration(1), request);
+  CHECK(table.ended_runs.empty());
+}
+
 // A start call that was fenced waits for another attempt.
 TEST_CASE("a start that waits is not sent under a later lease") {
   RunTable table = Ready();
