Count each acknowledged result of a run

Cause: ProcessRunEnd took the end of a run into account only if the run was the task's current one, or had a higher number than the last one that ended. Everything else went to ProcessEarlierRunEnd, which ignored successes, and failures of runs that were not below the current number; the end was acknowledged all the same. A planner that was told "not started" and then "done" of one run number kept the first and lost the second.

Change: ProcessOtherRunEnd. A success of any run ends the task and stops later runs, of gangs too; a failure is an attempt, once for each run number; ends without a result change nothing. A success is void only if the run was on a VM whose leases had all ended (TaskEntity::lost_run) and the task has a later run: an end that is heard after the lease does not count (existing test "a run that ends on a lost VM does not end the task's new run", unchanged). A failure that was recorded no longer hides a success of the same run.

Tried and dropped: counting every success, without the exception; the existing test fails, and its case is allowed by the rule.

--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -74,8 +74,9 @@
   }
   // The tasks of a gang end together, so the end of one completes all of them.
   for (uint32_t i = 0; i < spec.count; ++i) {
-    FinishTask(shard, now, job, {key.job, key.occurrence, key.step, i},
-               tasks[i]);
+    const TaskKey member{key.job, key.occurrence, key.step, i};
+    if (others_may_run) StopRuns(shard, member, vm);
+    FinishTask(shard, now, job, member, tasks[i]);
   }
 }
 
@@ -173,17 +174,28 @@
   return std::find(runs.begin(), runs.end(), end.run) != runs.end();
 }
 
-/// Processes the end of an earlier run that a previous planner received but did
-/// not store, while a later run continues. A failure still counts as an
-/// attempt. Success is ignored and left to the later run, since the earlier run
-/// may be on a VM that was considered lost.
-void ProcessEarlierRunEnd(ShardState& shard, MonotonicTime now, JobEntity& job,
-                          TaskEntity& task, VmEntity& vm,
-                          const RunEndReport& end, Decisions& log) {
+/// Processes the end of a run that is not the task's current one: a previous
+/// planner received but did not store it, the VM was considered lost, or the
+/// run was reported to have ended in another way before. The agent forgets the
+/// end once it is recorded, so its result counts now or never: success ends the
+/// task, and a failure is an attempt. Other ends have no result, and the task
+/// does not wait for this run.
+void ProcessOtherRunEnd(ShardState& shard, MonotonicTime now, JobEntity& job,
+                        TaskEntity& task, VmEntity& vm, const RunEndReport& end,
+                        Decisions& log) {
   const StepSpec& spec = job.record.spec.steps[end.task.step];
-  if (spec.lasting || end.run >= task.run) return;
-  if (end.end != RunEnd::kFailed) return;
-  ProcessFailure(shard, now, job, end.task, task, end.run, vm, log);
+  if (spec.lasting) return;
+  if (end.end == RunEnd::kDone) {
+    // The lease ended before the end was heard, which voids it. The task is
+    // left to its later run.
+    const bool is_void =
+        end.run == task.lost_run && task.phase == TaskPhase::kPlaced;
+    if (is_void) return;
+    return ProcessSuccess(shard, now, job, end.task, vm.id, true);
+  }
+  if (end.end == RunEnd::kFailed) {
+    ProcessFailure(shard, now, job, end.task, task, end.run, vm, log);
+  }
 }
 
 void ProcessRunEnd(ShardState& shard, MonotonicTime now, VmEntity& vm,
@@ -194,7 +206,8 @@
   TaskEntity* task = FindReportedTask(shard, now, end.task);
   LogEnd(vm, end, task != nullptr, log);
   if (job == nullptr || task == nullptr || IsFinal(job->state)) return;
-  if (task->phase == TaskPhase::kDone || IsFailureRecorded(*task, end)) return;
+  if (task->phase == TaskPhase::kDone) return;
+  if (end.end != RunEnd::kDone && IsFailureRecorded(*task, end)) return;
   ProcessWorkerCrash(shard, now, *job, *task, vm, end, log);
   if (IsFinal(job->state)) return;
   // The worker has survived the run. A lasting task may end before it is
@@ -210,7 +223,7 @@
   const bool is_untracked =
       task->phase == TaskPhase::kIdle && end.run > task->last_ended_run;
   if (!is_current && !is_untracked) {
-    return ProcessEarlierRunEnd(shard, now, *job, *task, vm, end, log);
+    return ProcessOtherRunEnd(shard, now, *job, *task, vm, end, log);
   }
   if (end.end != RunEnd::kNotStarted) job->started = true;
   task->last_ended_run = end.run;
@@ -411,6 +424,7 @@
       TaskEntity* task = FindTask(shard, key);
       if (task == nullptr || task->phase != TaskPhase::kPlaced) continue;
       if (task->vm != id || task->run != run.run) continue;
+      task->lost_run = run.run;
       MakeIdle(*task, now, id, "vm_lost");
     }
   }
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -30,6 +30,8 @@
   RunNumber run;
   /// Latest run whose end was processed. Agents may report that end again.
   RunNumber last_ended_run;
+  /// Latest run that was on a VM when all leases of that VM had ended.
+  RunNumber lost_run;
   VmId vm;
   /// VM of the latest run that this planner placed; a retry prefers another.
   VmId last_vm;
--- a/tests/sched/reports_test.cc
+++ b/tests/sched/reports_test.cc
@@ -268,6 +268,90 @@
   CHECK(vm.runs.contains(Key("j", 0, 1)));
 }
 
+// Review case 6, TWICE: the end was acknowledged and ignored, and the task was
+// started again.
+TEST_CASE("a done run counts although it was reported as not started before") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  VmEntity& other = AddVm(shard, "b");
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  EndRun(shard, vm, task, RunNumber(1), RunEnd::kNotStarted);
+  SUBCASE("the task waits") {}
+  SUBCASE("the task is placed elsewhere") {
+    Place(shard, kNow + Duration(200));
+    REQUIRE(other.runs.contains(task));
+    ReportAllRunning(shard, other);
+  }
+  EndRun(shard, vm, task, RunNumber(1), RunEnd::kDone);
+  CHECK(job.state == JobState::kCompleted);
+  Place(shard, kNow + Duration(10'000));
+  CHECK_FALSE(vm.runs.contains(task));
+  for (const auto& [key, run] : other.runs) CHECK(run.stop_wanted);
+}
+
+TEST_CASE("a done run counts although a later run is at work") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  VmEntity& other = AddVm(shard, "b");
+  StepSpec step = Step(1, 1'000);
+  SUBCASE("a task on its own") {}
+  SUBCASE("a task of a gang") { step.gang = true; }
+  JobEntity& job = AcceptJob(shard, "j", {step});
+  const TaskKey task = Key("j", 0, 0);
+  EndRun(shard, vm, task, RunNumber(1), RunEnd::kLapsed);
+  vm.worker.draining = true;
+  Place(shard, kNow + Duration(200));
+  REQUIRE(other.runs.contains(task));
+  ReportAllRunning(shard, other);
+  EndRun(shard, vm, task, RunNumber(1), RunEnd::kDone);
+  CHECK(job.state == JobState::kCompleted);
+  CHECK(other.runs.at(task).stop_wanted);
+}
+
+TEST_CASE("a done run counts although it was reported as failed before") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  EndRun(shard, vm, Key("j", 0, 0), RunNumber(1), RunEnd::kFailed);
+  EndRun(shard, vm, Key("j", 0, 0), RunNumber(1), RunEnd::kDone);
+  CHECK(job.state == JobState::kCompleted);
+}
+
+// BUDGET: each acknowledged failure is an attempt.
+TEST_CASE("a failed run counts once whatever was reported of it before") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  EndRun(shard, vm, task, RunNumber(1), RunEnd::kNotStarted);
+  EndRun(shard, vm, task, RunNumber(1), RunEnd::kFailed);
+  EndRun(shard, vm, task, RunNumber(1), RunEnd::kFailed);
+  CHECK(FindTask(shard, task)->failed_runs.size() == 1);
+  CHECK(job.state != JobState::kFailed);
+}
+
+TEST_CASE("an end of an earlier run without a result changes nothing") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  VmEntity& other = AddVm(shard, "b");
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  EndRun(shard, vm, task, RunNumber(1), RunEnd::kNotStarted);
+  vm.worker.draining = true;
+  Place(shard, kNow + Duration(200));
+  REQUIRE(other.runs.contains(task));
+  for (const RunEnd end :
+       {RunEnd::kNotStarted, RunEnd::kStopped, RunEnd::kLapsed,
+        RunEnd::kGangBroken, RunEnd::kGangIncomplete, RunEnd::kWorkerLost}) {
+    EndRun(shard, vm, task, RunNumber(1), end);
+    CHECK(FindTask(shard, task)->phase == TaskPhase::kPlaced);
+    CHECK(FindTask(shard, task)->vm == other.id);
+    CHECK_FALSE(other.runs.at(task).stop_wanted);
+  }
+  CHECK(job.state == JobState::kPending);
+}
+
 TEST_CASE("a planner whose clock is behind continues a started occurrence") {
   constexpr Duration kClockDifference{2'000};
   ShardState shard = PlannerWithTimedJob(kClockDifference);
