Wait for leases that a restarted worker took for its former process

Reproduced by tests/soak/restarted_worker_test.py, which plays it with the real programs: starts on their way are carried out by the worker's next process, and 2 s later nothing reaches it any more.

Cause: a lease ends at a time on the worker's clock, and a process that starts again begins that clock anew. A call names the worker by its id, so the new process carries out calls meant for the former one, and takes their lease ends for a time far ahead: the longest lease that it gives (10 s). ReplaceWorker forgot all leases, so that agent and planner counted on 5.35 s.

It does not give up runs before, tells the planner (SyncReport::former_lease_ms), and stops the runs that the new process has started by such calls. In the planner: a VM is lost only when these leases have ended as well, and as long as they outlast a grant only suspects of a crash are placed there, as a later planner that does not hear the VM counts on the usual time.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -38,6 +38,7 @@
   constexpr int kUnusedLifeBits = 12;
   table_.life = AgentIncarnation((random() >> kUnusedLifeBits) | 1);
   table_.started_at = loop_.now();
+  table_.max_worker_lease = settings_.max_worker_lease;
 }
 
 void Agent::Start() {
@@ -151,6 +152,14 @@
        {"memory_mb", table_.worker.capacity.memory.value}});
 }
 
+void Agent::LogFormerLease() const {
+  Log(Event::kFormerLease,
+      {{"worker", table_.worker.id.value},
+       {"born_ms", table_.worker_born_ms},
+       {"lease_left_ms", (table_.former_lease_until - loop_.now()).count()},
+       {"runs", static_cast<int64_t>(table_.runs.size())}});
+}
+
 void Agent::HandleWorkerHello(const WorkerHello& hello) {
   const bool was_draining = table_.worker.draining;
   const bool was_unproven = table_.unproven_hello.has_value();
@@ -206,6 +215,7 @@
         if (generation != renewal_generation_) return;
         renewal_in_flight_ = false;
         const bool was_responsive = table_.worker.responsive;
+        const bool was_held_back = table_.held_back;
         const int64_t born_before_ms = table_.worker_born_ms;
         const MonotonicTime now = loop_.now();
         if (listing) {
@@ -218,6 +228,7 @@
           next_renewal_at_ = now + kRenewRetryDelay;
         }
         LogSettledStarts();
+        if (table_.held_back && !was_held_back) LogFormerLease();
         const bool is_new_worker = table_.worker.id != call.call.worker ||
                                    table_.worker_born_ms != born_before_ms;
         if (is_new_worker) LogWorker();
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -17,6 +17,8 @@
   DataCentreId data_centre;
   /// Address at which planners reach this process.
   Address peer;
+  /// Longest lease that the worker gives.
+  Duration max_worker_lease = kDefaultMaxWorkerLease;
 };
 
 /// Manages the worker of one VM: carries out the planner's orders, renews the
@@ -57,6 +59,7 @@
   void EnsureRowIsValid();
   void WriteAgentRow();
   void LogWorker() const;
+  void LogFormerLease() const;
   void Tick();
   void ReportCallResult(const char* what, const TaskKey& task, RunNumber run,
                         const CallResult& result, const WorkerCall& call);
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -26,6 +26,8 @@
 constexpr Duration kMaxLease = kLeaseGrantDuration +
                                kLeaseGrantDuration * kClockDriftPercent / 100 +
                                kLeaseExpiryMargin;
+/// A call without an answer may be carried out as late as this.
+constexpr Duration kMaxCallDelay{15'000};
 /// A fencing number holds the planner's epoch in its high bits; the low bits
 /// count within that epoch.
 constexpr int kFencingBitsPerEpoch = 24;
@@ -327,10 +329,30 @@
   return call;
 }
 
+/// Notes that a call with a lease is about to be sent.
+void RecordLeaseSent(RunTable& table, const WorkerCall& call,
+                     MonotonicTime lease_until) {
+  table.leases_in_flight.insert(lease_until);
+  table.lease_sent_ms = std::max(table.lease_sent_ms, call.lease_until_ms);
+}
+
+/// Notes the lease end of a call that the present worker process has not
+/// answered.
+void RecordUnansweredLease(RunTable& table, MonotonicTime now,
+                           const WorkerCall& call) {
+  table.unanswered_lease_ms =
+      std::max(table.unanswered_lease_ms, call.lease_until_ms);
+  table.unanswered_lease_at = now;
+}
+
 /// Updates the latest lease end that the worker may have received after a call
 /// that carried a lease.
-void RecordLeaseResult(RunTable& table, MonotonicTime lease_until,
+void RecordLeaseResult(RunTable& table, MonotonicTime now,
+                       const WorkerCall& call, MonotonicTime lease_until,
                        CallOutcome outcome) {
+  if (outcome == CallOutcome::kUnknown && call.worker == table.worker.id) {
+    RecordUnansweredLease(table, now, call);
+  }
   const auto it = table.leases_in_flight.find(lease_until);
   if (it != table.leases_in_flight.end()) table.leases_in_flight.erase(it);
   // A worker that rejects a start still applies the lease. A rejected start
@@ -433,11 +455,62 @@
   if (table.complete_version == 0) table.complete_version = ++table.version;
 }
 
+/// Notes which lease ends of the former worker process may reach the one that
+/// replaces it.
+/// @param same_id the new process has the id of the former one. A worker with
+/// another id rejects the calls.
+void RecordLeasesOfFormerWorker(RunTable& table, MonotonicTime now,
+                                bool same_id) {
+  if (!same_id) table.former_lease_ms = 0;
+  if (same_id && now - table.unanswered_lease_at <= kMaxCallDelay) {
+    table.former_lease_ms =
+        std::max(table.former_lease_ms, table.unanswered_lease_ms);
+  }
+  if (same_id && !table.leases_in_flight.empty()) {
+    table.former_lease_ms =
+        std::max(table.former_lease_ms, table.lease_sent_ms);
+  }
+  table.lease_sent_ms = 0;
+  table.unanswered_lease_ms = 0;
+  table.former_lease_until = {};
+  table.held_back = false;
+}
+
+/// Determines how long the leases last that the worker process took from calls
+/// meant for a former one.
+/// @param call answered by the present process.
+void UpdateLeasesOfFormerWorker(RunTable& table, MonotonicTime now,
+                                const RenewCall& call,
+                                const WorkerListing& listing) {
+  if (table.former_lease_ms == 0) return;
+  const Duration until_end(table.former_lease_ms - listing.clock_ms);
+  const Duration longest =
+      std::clamp(until_end, Duration(0), table.max_worker_lease);
+  table.former_lease_until = now + longest + longest * kClockDriftPercent / 100;
+  table.held_back = table.former_lease_until > now + kLeaseGrantDuration;
+  if (call.call.fencing >= table.process_fencing) table.former_lease_ms = 0;
+}
+
+/// Stops the runs that the worker process has started by calls meant for a
+/// former one: their leases last for longer than a later planner counts on.
+void StopRunsOfFormerCalls(RunTable& table, const WorkerListing& listing) {
+  for (const WorkerRun& listed : listing.running) {
+    const auto it = table.runs.find(listed.task);
+    if (it == table.runs.end()) continue;
+    AgentRun& run = it->second;
+    if (run.call_fencing < table.process_fencing) run.stop_requested = true;
+  }
+}
+
 /// @param kept see EndRunsOfFormerWorker.
-void ReplaceWorker(RunTable& table, const std::set<TaskKey>& kept) {
+/// @param same_id see RecordLeasesOfFormerWorker.
+void ReplaceWorker(RunTable& table, MonotonicTime now,
+                   const std::set<TaskKey>& kept, bool same_id) {
   EndRunsOfFormerWorker(table, kept);
-  // Starts that have not arrived by the next listing are void.
-  if (!table.runs.empty()) ++table.fencing;
+  RecordLeasesOfFormerWorker(table, now, same_id);
+  // Calls that have not arrived by the next listing are void.
+  if (same_id && table.fencing != 0) ++table.fencing;
+  table.process_fencing = table.fencing;
   for (UnrecordedEnd& end : table.ends) end.worker_number = 0;
   table.worker_end_seen = 0;
   table.worker_end_recorded = 0;
@@ -477,7 +550,7 @@
   }
   const bool is_new_worker = IsOtherProcess(table, hello);
   if (is_new_worker) {
-    ReplaceWorker(table, {});
+    ReplaceWorker(table, now, {}, hello.worker.id == table.worker.id);
     table.worker_born_ms = hello.born_ms;
     table.worker_announced_at = now;
   }
@@ -547,6 +620,9 @@
   out.batch = table.batch;
   out.settled = table.settled;
   out.worker = table.worker;
+  if (table.held_back) {
+    out.former_lease_ms = (table.former_lease_until - now).count();
+  }
   const bool known = request.life == table.life;
   out.complete = !known || request.seen_version == 0 ||
                  request.seen_version < table.complete_version;
@@ -589,7 +665,7 @@
                        {run.order.task, run.order.run, run.order.payload,
                         run.order.checkpoint, run.order.permit},
                        lease_until});
-        table.leases_in_flight.insert(lease_until);
+        RecordLeaseSent(table, out.back().call, lease_until);
       }
     }
     it = next;
@@ -599,7 +675,7 @@
 
 void FinishStartCall(RunTable& table, MonotonicTime now, const StartCall& call,
                      const CallResult& result) {
-  RecordLeaseResult(table, call.lease_until, result.outcome);
+  RecordLeaseResult(table, now, call.call, call.lease_until, result.outcome);
   if (result.outcome == CallOutcome::kUnknown &&
       call.call.fencing >= table.fencing) {
     RaiseFencing(table);
@@ -716,22 +792,24 @@
   table.renew_immediately = false;
   if (has_lease) {
     out.lease_until = table.lease_until;
-    table.leases_in_flight.insert(out.lease_until);
+    RecordLeaseSent(table, out.call, out.lease_until);
   }
   return out;
 }
 
 void ApplyWorkerListing(RunTable& table, MonotonicTime now,
                         const RenewCall& call, const WorkerListing& listing) {
-  RecordLeaseResult(table, call.lease_until, CallOutcome::kOk);
+  RecordLeaseResult(table, now, call.call, call.lease_until, CallOutcome::kOk);
   if (call.call.worker != table.worker.id) return;
   if (table.worker_born_ms == 0) table.worker_born_ms = listing.born_ms;
   if (listing.born_ms != 0 && listing.born_ms != table.worker_born_ms) {
     const bool is_former = listing.born_ms < table.worker_born_ms &&
                            call.sent_at < table.worker_announced_at;
     if (is_former) return;
-    // The process that answers is the worker, whatever was announced.
-    ReplaceWorker(table, ListRunsOfNewProcess(table, call, listing));
+    // The process that answers is the worker, whatever was announced. It has
+    // taken the lease that the call carried.
+    RecordUnansweredLease(table, now, call.call);
+    ReplaceWorker(table, now, ListRunsOfNewProcess(table, call, listing), true);
     table.worker_born_ms = listing.born_ms;
     table.worker_announced_at = now;
     ++table.version;
@@ -749,6 +827,7 @@
   table.worker_heard_at = now;
   table.worker_failed_at = {};
   table.lapsed.clear();
+  UpdateLeasesOfFormerWorker(table, now, call, listing);
   SetResponsive(table, true);
   if (!table.settled) ++table.version;
   table.settled = true;
@@ -758,6 +837,7 @@
     ApplyListedRun(table, now, run);
   }
   for (const WorkerRunEnd& end : listing.ended) ApplyListedEnd(table, now, end);
+  if (table.held_back) StopRunsOfFormerCalls(table, listing);
   if (!listing.complete) return;
   ResolveUnlistedRuns(table, now, call, listed);
   MarkComplete(table);
@@ -768,7 +848,7 @@
   // kRejected means that the renewal did not reach the worker, so the worker
   // has not received its lease.
   const bool reached = result.outcome != CallOutcome::kRejected;
-  RecordLeaseResult(table, call.lease_until,
+  RecordLeaseResult(table, now, call.call, call.lease_until,
                     reached ? result.outcome : CallOutcome::kWrongWorker);
   if (call.call.worker != table.worker.id) return;
   if (!reached) table.worker_unreachable = true;
@@ -788,9 +868,15 @@
     table.settled = true;
     MarkComplete(table);
   }
+  if (table.held_back &&
+      table.former_lease_until <= now + kLeaseGrantDuration) {
+    table.held_back = false;
+    ++table.version;
+  }
   if (table.worker.responsive) return;
-  if (table.lease_sent_until == MonotonicTime{}) return;
-  MonotonicTime sent_until = table.lease_sent_until;
+  MonotonicTime sent_until =
+      std::max(table.lease_sent_until, table.former_lease_until);
+  if (sent_until == MonotonicTime{}) return;
   if (!table.leases_in_flight.empty()) {
     sent_until = std::max(sent_until, *table.leases_in_flight.rbegin());
   }
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -318,6 +318,9 @@
       {Event::kWorkerUnproven, "worker.unproven", kMembership, kWarning,
        "another worker was announced; it is followed only if the present one "
        "no longer answers in its place"},
+      {Event::kFormerLease, "worker.former_lease", kMembership, kWarning,
+       "the worker started again under its id, and may have taken a lease that "
+       "was meant for its former process and lasts for this long"},
       {Event::kSettingsReloaded, "settings.reloaded", kProcess, kInfo,
        "the settings were reloaded, with what changed"},
   };
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -108,6 +108,7 @@
   kAgentListed = 9307,
   kStartSettled = 9308,
   kWorkerUnproven = 9309,
+  kFormerLease = 9310,
   kSettingsReloaded = 9401,
 };
 
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -258,15 +258,17 @@
   /// The worker may have had further runs whose ends it has not listed yet, so
   /// that a run which is not reported may have ended in any way.
   bool partial = false;
+  /// Runs may go on for this long after `stamp`, whatever leases the planner
+  /// has granted: their worker process was sent leases that were meant for a
+  /// former one. 0 if no lease lasts for longer than a planner can grant one.
+  int64_t former_lease_ms = 0;
   WorkerReport worker;
   std::vector<RunReport> runs;
   std::vector<RunEndReport> ends;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SyncReport, message_version,
-                                                epoch, planner_address, life,
-                                                stamp, version, batch, settled,
-                                                complete, partial, worker, runs,
-                                                ends)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    SyncReport, message_version, epoch, planner_address, life, stamp, version,
+    batch, settled, complete, partial, former_lease_ms, worker, runs, ends)
 
 enum class JobVerb : uint8_t { kSubmit, kRead, kCancel, kCount };
 NLOHMANN_JSON_SERIALIZE_ENUM(JobVerb, {{JobVerb::kSubmit, "submit"},
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -144,7 +144,8 @@
     candidate.idle_cpu = worker.capacity.cpu.value;
     candidate.testing_suspect = tests.vms.contains(id);
     candidate.busy_with_suspect = tests.busy.contains(id);
-    candidate.reserved_for_suspects = vm.reserved_for_suspects_until > now;
+    candidate.reserved_for_suspects =
+        vm.reserved_for_suspects_until > now || vm.has_former_lease;
     candidate.unreliable = IsUnreliable(vm, now);
     for (const auto& [task, run] : vm.runs) {
       Resources size = run.size;
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -378,7 +378,9 @@
   }
   if (report.stamp > vm.stamp || !vm.synced) {
     vm.stamp = report.stamp;
-    vm.lease_ends_at = now + kMaxLeaseDuration;
+    const Duration former_lease(report.former_lease_ms);
+    vm.lease_ends_at =
+        now + std::max(kMaxLeaseDuration, former_lease + kLeaseExpiryMargin);
   }
   if (report.version < vm.seen_version) return;
   if (!vm.synced && !report.complete) return;
@@ -396,6 +398,7 @@
   vm.seen_version = report.version;
   ReleaseRecordedEnds(shard, vm);
   vm.partial = report.partial;
+  vm.has_former_lease = report.former_lease_ms > 0;
   if (!vm.partial) vm.awaiting_first_sync = false;
   if (vm.synced) return;
   vm.synced = true;
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -163,6 +163,10 @@
   bool row_unproven = false;
   /// The latest report may lack runs that the VM has had; see SyncReport.
   bool partial = false;
+  /// Runs may outlast the leases that are granted; see SyncReport. A planner
+  /// that takes over and does not hear the VM does not know of it, so that only
+  /// tasks suspected of crashing workers are placed here.
+  bool has_former_lease = false;
   /// Agent process whose state was last processed.
   AgentIncarnation life;
   /// Agent process that sent the latest report; differs from `life` until it is
--- a/source/sched/waiting.cc
+++ b/source/sched/waiting.cc
@@ -75,7 +75,7 @@
       ++out.without_room;
     } else if (IsClosedToTask(vm, step, key)) {
       ++out.closed_to_task;
-    } else if (vm.set_aside_until > now) {
+    } else if (vm.set_aside_until > now || vm.has_former_lease) {
       ++out.set_aside;
     } else {
       ++out.suitable;
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -670,6 +670,164 @@
   CHECK(next->recorded == 57);
 }
 
+constexpr Duration kWorkerMaxLease{10'000};
+
+/// @return a table whose worker has been up for a minute when a start is sent.
+/// The worker has started again by then, under its id and unannounced, and
+/// carries the start out; the lease ends on the clock of the former process.
+RunTable StartOnRestartedWorker(CallOutcome outcome) {
+  RunTable table = Ready();
+  table.clock_ms = 60'000;
+  Order(table, {Start(kTask, 1)});
+  const auto calls = BeginStartCalls(table, kNow);
+  REQUIRE(calls.size() == 1);
+  FinishStartCall(table, kNow, calls[0], {outcome, ""});
+  return table;
+}
+
+/// @return a listing of the restarted worker, with the run that it has started.
+WorkerListing ListingOfRestartedWorker(int64_t clock_ms) {
+  WorkerListing listing = Listing(clock_ms, 200);
+  listing.running.push_back({kTask, RunNumber(1)});
+  return listing;
+}
+
+/// @return when the agent gives up the runs of a worker that nothing reaches.
+MonotonicTime FindGiveUpTime(RunTable& table, MonotonicTime now) {
+  const MonotonicTime end = now + 4 * kWorkerMaxLease;
+  for (; !table.runs.empty() && now < end; now += Duration(100)) {
+    if (const auto renewal = BeginRenewal(table, now)) {
+      HandleRenewalFailure(table, now, *renewal,
+                           {CallOutcome::kRejected, "connect"});
+    }
+    ExpireLeases(table, now);
+  }
+  return now;
+}
+
+// Issue 48, TWICE: the agent gave the run up after its own lease of 5 s, and
+// the task was started elsewhere while the worker went on for 10 s.
+TEST_CASE("runs that a restarted worker took for its former process outlast") {
+  RunTable table = StartOnRestartedWorker(CallOutcome::kUnknown);
+  const MonotonicTime heard = kNow + Duration(100);
+  ApplyWorkerListing(table, heard, *BeginRenewal(table, heard),
+                     ListingOfRestartedWorker(500));
+  REQUIRE(table.runs.contains(kTask));
+  SUBCASE("the worker is cut off at once") {}
+  SUBCASE("the worker was heard again before") {
+    const auto renewal = BeginRenewal(table, heard);
+    ApplyWorkerListing(table, heard, *renewal, ListingOfRestartedWorker(500));
+  }
+  const SyncReport report = MakeReport(table, heard, Request(table));
+  CHECK(heard + Duration(report.former_lease_ms) >= heard + kWorkerMaxLease);
+  CHECK(FindGiveUpTime(table, heard) >= heard + kWorkerMaxLease);
+}
+
+// A start is in flight when the worker is found to have started again.
+TEST_CASE("a lease in flight to a restarted worker counts") {
+  RunTable table = Ready();
+  table.clock_ms = 60'000;
+  Order(table, {Start(kTask, 1)});
+  REQUIRE(BeginStartCalls(table, kNow).size() == 1);
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
+                     ListingOfRestartedWorker(500));
+  CHECK(FindGiveUpTime(table, kNow) >= kNow + kWorkerMaxLease);
+}
+
+// The answer to a renewal shows that the worker has started again.
+TEST_CASE("a lease that a restarted worker has answered counts") {
+  RunTable table = Ready();
+  table.clock_ms = 60'000;
+  const auto renewal = BeginRenewal(table, kNow);
+  REQUIRE(renewal->call.lease_until_ms > 60'000);
+  ApplyWorkerListing(table, kNow, *renewal, Listing(500, 200));
+  CHECK(table.former_lease_until >= kNow + kWorkerMaxLease);
+}
+
+TEST_CASE("runs that a worker took for its former process are stopped") {
+  RunTable table = StartOnRestartedWorker(CallOutcome::kUnknown);
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
+                     ListingOfRestartedWorker(500));
+  const auto stops = BeginStopCalls(table, kNow);
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].run == RunNumber(1));
+  CHECK(stops[0].call.fencing >= table.process_fencing);
+}
+
+TEST_CASE("a restarted worker's later runs are not stopped") {
+  RunTable table = StartOnRestartedWorker(CallOutcome::kUnknown);
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
+                     Listing(500, 200));
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
+                     Listing(500, 200));
+  REQUIRE(table.runs.empty());
+  ApplyWorkerHello(table, kNow, Hello("w", 200));
+  Order(table, {Start(kTask, 2)});
+  const auto calls = BeginStartCalls(table, kNow);
+  REQUIRE(calls.size() == 1);
+  FinishStartCall(table, kNow, calls[0], {});
+  WorkerListing listing = Listing(500, 200);
+  listing.running.push_back({kTask, RunNumber(2)});
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), listing);
+  CHECK(table.held_back);
+  CHECK(BeginStopCalls(table, kNow).empty());
+}
+
+TEST_CASE("calls meant for a former process are void after the next answer") {
+  RunTable table = Ready();
+  const uint64_t before = table.fencing;
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
+                     Listing(500, 200));
+  CHECK(table.fencing > before);
+  CHECK(BeginRenewal(table, kNow)->call.fencing > before);
+}
+
+TEST_CASE("a worker is held back only while a lease can outlast a grant") {
+  RunTable table = StartOnRestartedWorker(CallOutcome::kUnknown);
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
+                     Listing(500, 200));
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
+                     Listing(500, 200));
+  CHECK(MakeReport(table, kNow, Request(table)).former_lease_ms > 0);
+  // With the allowance for a slow clock.
+  const Duration longest = kWorkerMaxLease + kWorkerMaxLease * 3 / 100;
+  const MonotonicTime end = kNow + longest - kLeaseGrantDuration;
+  ExpireLeases(table, end - Duration(1));
+  CHECK(table.held_back);
+  const uint64_t version = table.version;
+  ExpireLeases(table, end);
+  CHECK_FALSE(table.held_back);
+  CHECK(table.version > version);
+  CHECK(MakeReport(table, end, Request(table)).former_lease_ms == 0);
+}
+
+TEST_CASE("a worker that took no lease of its former process is used at once") {
+  RunTable table;
+  SUBCASE("all calls were answered") {
+    table = StartOnRestartedWorker(CallOutcome::kOk);
+    ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), Listing());
+    table.worker_unreachable = true;
+  }
+  SUBCASE("the former process had just started") {
+    table = Ready();
+    table.clock_ms = 100;
+    Order(table, {Start(kTask, 1)});
+    const auto calls = BeginStartCalls(table, kNow);
+    FinishStartCall(table, kNow, calls[0], {CallOutcome::kUnknown, ""});
+  }
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
+                     Listing(400, 200));
+  CHECK_FALSE(table.held_back);
+}
+
+TEST_CASE("a worker with another id takes no lease of the former one") {
+  RunTable table = StartOnRestartedWorker(CallOutcome::kUnknown);
+  ApplyWorkerHello(table, kNow, Hello("w2", 200));
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
+                     Listing(500, 200));
+  CHECK_FALSE(table.held_back);
+}
+
 // Regression test: a worker whose first announcement had no start time was
 // never followed, as each later one counted as that of another process.
 TEST_CASE("a worker announced without a start time is followed later") {
--- a/tests/sched/reports_test.cc
+++ b/tests/sched/reports_test.cc
@@ -352,6 +352,48 @@
   CHECK(job.state == JobState::kPending);
 }
 
+// Issue 48, TWICE: the worker had taken a lease that was meant for its former
+// process, and its runs went on after the planner had given them up.
+TEST_CASE("a VM is lost only when the leases of a former process have ended") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  Place(shard);
+  ReportAllRunning(shard, vm);
+  constexpr Duration kFormerLease{9'900};
+  SyncReport report = Report(vm);
+  report.stamp = AgentTime(2'000'000);
+  report.former_lease_ms = kFormerLease.count();
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  const MonotonicTime before = kNow + kFormerLease;
+  shard.ownership_proven_at = before;
+  ExpireVmLeases(shard, before, log);
+  CHECK(vm.runs.size() == 1);
+  const MonotonicTime after = before + kLeaseExpiryMargin;
+  shard.ownership_proven_at = after;
+  ExpireVmLeases(shard, after, log);
+  CHECK(vm.runs.empty());
+}
+
+TEST_CASE("a VM whose leases outlast a grant is given suspects only") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  SyncReport report = Report(vm);
+  report.former_lease_ms = 9'900;
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  Place(shard);
+  CHECK(vm.runs.empty());
+  SUBCASE("the leases have ended") {
+    ApplyReport(shard, kNow, vm, Report(vm), log);
+  }
+  SUBCASE("the task is a suspect") { shard.suspects.insert(Key("j", 0, 0)); }
+  Place(shard);
+  CHECK(vm.runs.size() == 1);
+}
+
 TEST_CASE("a planner whose clock is behind continues a started occurrence") {
   constexpr Duration kClockDifference{2'000};
   ShardState shard = PlannerWithTimedJob(kClockDifference);
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -30,7 +30,8 @@
 class Fleet:
     """What a run starts, and what the judge asks of it."""
 
-    def __init__(self, folder, build, site, rng, entries=3, vms=11):
+    def __init__(self, folder, build, site, rng, entries=3, vms=11,
+                 make_executor=SoakExecutor):
         self.folder = pathlib.Path(folder)
         self.bin = pathlib.Path(build).resolve() / "bin"
         self.site = site
@@ -43,6 +44,7 @@
         self.gone = set()
         self.entry_count = entries
         self.vm_count = vms
+        self.make_executor = make_executor
         self.history = Judge(self, now_ms)
         self.network = Network()
         self.store = SoakStore(self.record, rng, self.network)
@@ -188,7 +190,7 @@
         name = f"side-{number}"
         cpu = (self.site.vm_cpu, self.site.vm_cpu,
                self.site.vm_cpu * 3 // 2)[number % 3]
-        executor = SoakExecutor(
+        executor = self.make_executor(
             self, name, {"cpu": cpu, "memMb": 4 * cpu, "gpu": 0},
             ["a", f"r1-{number // 3}"], self.rng)
         if self.rng.random() < 0.5:
--- /dev/null
+++ b/tests/soak/restarted_worker_test.py
@@ -0,0 +1,131 @@
+"""Plays, with the real programs, executors that start again under their id,
+carry out starts that were meant for their former process, and are cut off from
+their agent soon after. Exits with 1 if a rule was broken, 0 if all held, 2 if
+the run wasn't possible."""
+
+import argparse
+import asyncio
+import os
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "review"))
+import load  # noqa: E402
+from fleet import Fleet  # noqa: E402
+from harness import HOLD_MAX_MS, NotReady, now_ms  # noqa: E402
+from rules import Job  # noqa: E402
+from standins import SILENCE_S, SoakExecutor  # noqa: E402
+
+VMS = 3
+TASKS = 6
+TASK_CPU = 12000
+TASK_MS = 30000
+WAIT_FOR_STARTS_S = 3
+AWAY_S = 0.5
+CUT_AFTER_S = 2
+# Longer than the longest lease.
+CUT_S = HOLD_MAX_MS / 1000 + 2
+
+
+class HoldingExecutor(SoakExecutor):
+    """Keeps starts on their way until its next process carries them out."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.held = None
+
+    async def handle(self, request):
+        if self.held is not None and request.path == "/run-start":
+            self.held.append(request)
+            await asyncio.sleep(SILENCE_S)
+            return None
+        return await super().handle(request)
+
+    async def restart_with_held_starts(self):
+        held, self.held = self.held, None
+        await self.crash()
+        await asyncio.sleep(AWAY_S)
+        await self.start()
+        for request in held:
+            answer = await self.handle(request)
+            self.record.add("call.late", vm=self.name,
+                            task=request.json()["task"], answer=answer)
+
+    async def cut_off(self, seconds):
+        """Nothing reaches the executor, whose runs go on."""
+        self.cut = True
+        await self.server.stop()
+        await asyncio.sleep(seconds)
+        await self.server.start(self.port)
+        self.cut = False
+
+
+async def play(fleet):
+    await fleet.start()
+    victim = fleet.executors[0]
+    # A lease on the clock of this process is then longer than any on that of
+    # the next one.
+    while victim.clock() < HOLD_MAX_MS:
+        await asyncio.sleep(0.1)
+    kind = fleet.site.kinds[0]
+    job = Job("00000000000000a1", kind.prefix, [
+        {"count": TASKS, "cpu": TASK_CPU, "memMb": 100,
+         "estimateMs": TASK_MS}])
+    fleet.add_job(job, [TASK_MS])
+    fleet.fail_share = 0
+    victim.held = []
+    await load.Client(fleet, fleet.rng).attempt(job)
+    until = now_ms() + 1000 * WAIT_FOR_STARTS_S
+    while not victim.held and now_ms() < until:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.05)
+    await victim.restart_with_held_starts()
+    carried_out = len(victim.runs)
+    if carried_out == 0:
+        raise NotReady("no start reached the new process")
+    await asyncio.sleep(CUT_AFTER_S)
+    await victim.cut_off(CUT_S)
+    await asyncio.sleep(1)
+    return carried_out
+
+
+async def run(build, folder):
+    fleet = Fleet(folder, build, load.SITES["etna"], random.Random(1), 2, VMS,
+                  HoldingExecutor)
+    try:
+        carried_out = await play(fleet)
+    except NotReady as error:
+        print(f"not run: {error}")
+        return 2
+    finally:
+        await fleet.stop()
+    broken = fleet.history.broken
+    print(f"starts of a former process carried out: {carried_out}, starts in "
+          f"all: {len(fleet.history.starts)}, rules broken: {len(broken)}")
+    for rule, text in broken[:5]:
+        print(f"  {rule}: {text}")
+    return 1 if broken else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", required=True)
+    parser.add_argument("--log-dir", type=pathlib.Path,
+                        help="keeps the record and the logs of a failed run")
+    options = parser.parse_args()
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="almondtally-restart-"))
+    code = asyncio.run(run(options.build, folder))
+    if options.log_dir and code:
+        shutil.copytree(folder, options.log_dir / "restarted-worker",
+                        dirs_exist_ok=True)
+    shutil.rmtree(folder, ignore_errors=True)
+    sys.stdout.flush()
+    os._exit(code)
+
+
+if __name__ == "__main__":
+    main()
