Close the idle connections of a pool that is replaced

Cause: a call without an answer makes a new pool of connections, as the idle ones are probably broken (RetirePool). The idle connections of the old pool stayed open for 20 s, until they were all that the executor accepts. Each such call also left a pool behind, whether or not it had idle connections.

Change: the idle time of a replaced pool is set to zero, so that h2o closes its connections at its next check, one a second; a pool without idle connections is kept.

--- a/source/wire/http_client.cc
+++ b/source/wire/http_client.cc
@@ -84,10 +84,13 @@
 
  private:
   /// Makes later calls open new connections; the idle ones in the old pool
-  /// close by their own timeout.
+  /// close when h2o next looks for expired ones, which it does once a second.
   static void RetirePool(ClientState& client, const Address& to) {
     const auto it = client.pools.find(to);
     if (it == client.pools.end()) return;
+    h2o_socketpool_t& pool = *it->second;
+    if (h2o_linklist_is_empty(&pool._shared.sockets)) return;
+    pool.timeout = 0;
     client.retired_pools.push_back(std::move(it->second));
     client.pools.erase(it);
   }
--- a/tests/wire/wire_test.cc
+++ b/tests/wire/wire_test.cc
@@ -361,6 +361,38 @@
   });
 }
 
+/// @return the number of this process's connections to a port.
+int CountConnectionsTo(uint16_t port) {
+  constexpr int kMaxFd = 1'024;
+  int n = 0;
+  for (int fd = 0; fd < kMaxFd; ++fd) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    const int ec = getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size);
+    if (ec == 0 && ntohs(peer.sin_port) == port) ++n;
+  }
+  return n;
+}
+
+// Each call without an answer left the idle connections of the pool open for
+// 20 s, until the worker accepted no more.
+TEST_CASE("idle connections are closed soon after a call went unanswered") {
+  constexpr int kCalls = 5;
+  WireFixture fixture;
+  const auto start = [&](const char* path, Duration timeout) {
+    fixture.client.Start(fixture.address, {"GET", path, {}, ""}, true, timeout,
+                         CollectResponse(1 << 20, [](auto, CallStatus) {}));
+  };
+  for (int i = 0; i < kCalls; ++i) start("/late", kTimeout);
+  fixture.loop.RunAfter(Duration(500), [&] {
+    CHECK(CountConnectionsTo(fixture.address.port) == kCalls);
+    start("/silent", Duration(50));
+  });
+  fixture.loop.RunAfter(Duration(3'000), [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  CHECK(CountConnectionsTo(fixture.address.port) == 0);
+}
+
 TEST_CASE("timers run in order and can be cancelled") {
   EventLoop loop;
   std::string order;
