--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -286,12 +286,21 @@
     EndedRun& ended = table.ended_runs[end.report.task];
     if (ended.run == end.report.run) {
       ended.remembered_until = now + kLeaseGrantDuration;
+      table.ended_runs_recorded.push_back(end.report.task);
     }
     table.ends.pop_front();
   }
-  std::erase_if(table.ended_runs, [&](const auto& it) {
-    return it.second.remembered_until < now;
-  });
+  while (!table.ended_runs_recorded.empty()) {
+    const auto it = table.ended_runs.find(table.ended_runs_recorded.front());
+    if (it != table.ended_runs.end()) {
+      const MonotonicTime until = it->second.remembered_until;
+      // Unlimited: a later run has ended, which is listed once it is recorded.
+      const bool is_limited = until != MonotonicTime::max();
+      if (is_limited && until >= now) break;
+      if (is_limited) table.ended_runs.erase(it);
+    }
+    table.ended_runs_recorded.pop_front();
+  }
 }
 
 void ApplyOrders(RunTable& table, MonotonicTime now,
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -183,6 +183,8 @@
   /// A run that has ended is not started again: the planner repeats orders that
   /// go unanswered, and the copies may be read after the end was reported.
   std::map<TaskKey, EndedRun> ended_runs;
+  /// Tasks of ended runs whose ends the planner has recorded, oldest first.
+  std::deque<TaskKey> ended_runs_recorded;
   /// For the log; the caller removes them.
   std::vector<SettledStart> settled_starts;
   uint64_t last_end = 0;
