--- a/tests/sched/suspects_test.cc
+++ b/tests/sched/suspects_test.cc
@@ -541,6 +541,7 @@
   REQUIRE(vm.runs.size() == tasks.size());
   ReportAllRunning(shard, vm);
   std::vector<CrashedRun> crashed;
+  crashed.reserve(tasks.size());
   for (const TaskKey& task : tasks) {
     crashed.push_back({task, {1'800, 24, kConfirmed}});
   }
