Names of the lease of a former process, and of VMs that suspects do not find

Cause: reading the diff as a newcomer. held_back named nothing that the agent does, two former_lease_ms had different meanings (a clock's value and a duration), and an array of two flags had to be decoded.

Change: has_former_lease as in the planner, former_lease_end_ms, two named flags; comments shortened. No behaviour changes.

agent_test, sched_test, planner_test and wire_test pass with the same cases.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -215,7 +215,7 @@
         if (generation != renewal_generation_) return;
         renewal_in_flight_ = false;
         const bool was_responsive = table_.worker.responsive;
-        const bool was_held_back = table_.held_back;
+        const bool had_former_lease = table_.has_former_lease;
         const int64_t born_before_ms = table_.worker_born_ms;
         const MonotonicTime now = loop_.now();
         if (listing) {
@@ -228,7 +228,7 @@
           next_renewal_at_ = now + kRenewRetryDelay;
         }
         LogSettledStarts();
-        if (table_.held_back && !was_held_back) LogFormerLease();
+        if (table_.has_former_lease && !had_former_lease) LogFormerLease();
         const bool is_new_worker = table_.worker.id != call.call.worker ||
                                    table_.worker_born_ms != born_before_ms;
         if (is_new_worker) LogWorker();
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -470,19 +470,19 @@
 /// another id rejects the calls.
 void RecordLeasesOfFormerWorker(RunTable& table, MonotonicTime now,
                                 bool same_id) {
-  if (!same_id) table.former_lease_ms = 0;
+  if (!same_id) table.former_lease_end_ms = 0;
   if (same_id && now - table.unanswered_lease_at <= kMaxCallDelay) {
-    table.former_lease_ms =
-        std::max(table.former_lease_ms, table.unanswered_lease_ms);
+    table.former_lease_end_ms =
+        std::max(table.former_lease_end_ms, table.unanswered_lease_ms);
   }
   if (same_id && !table.leases_in_flight.empty()) {
-    table.former_lease_ms =
-        std::max(table.former_lease_ms, table.lease_sent_ms);
+    table.former_lease_end_ms =
+        std::max(table.former_lease_end_ms, table.lease_sent_ms);
   }
   table.lease_sent_ms = 0;
   table.unanswered_lease_ms = 0;
   table.former_lease_until = {};
-  table.held_back = false;
+  table.has_former_lease = false;
 }
 
 /// Determines how long the leases last that the worker process took from calls
@@ -491,13 +491,13 @@
 void UpdateLeasesOfFormerWorker(RunTable& table, MonotonicTime now,
                                 const RenewCall& call,
                                 const WorkerListing& listing) {
-  if (table.former_lease_ms == 0) return;
-  const Duration until_end(table.former_lease_ms - listing.clock_ms);
+  if (table.former_lease_end_ms == 0) return;
+  const Duration until_end(table.former_lease_end_ms - listing.clock_ms);
   const Duration longest =
       std::clamp(until_end, Duration(0), table.max_worker_lease);
   table.former_lease_until = now + longest + longest * kClockDriftPercent / 100;
-  table.held_back = table.former_lease_until > now + kLeaseGrantDuration;
-  if (call.call.fencing >= table.process_fencing) table.former_lease_ms = 0;
+  table.has_former_lease = table.former_lease_until > now + kLeaseGrantDuration;
+  if (call.call.fencing >= table.process_fencing) table.former_lease_end_ms = 0;
 }
 
 /// Stops the runs that the worker process has started by calls meant for a
@@ -629,7 +629,7 @@
   out.batch = table.batch;
   out.settled = table.settled;
   out.worker = table.worker;
-  if (table.held_back) {
+  if (table.has_former_lease) {
     out.former_lease_ms = (table.former_lease_until - now).count();
   }
   const bool known = request.life == table.life;
@@ -846,7 +846,7 @@
     ApplyListedRun(table, now, run);
   }
   for (const WorkerRunEnd& end : listing.ended) ApplyListedEnd(table, now, end);
-  if (table.held_back) StopRunsOfFormerCalls(table, listing);
+  if (table.has_former_lease) StopRunsOfFormerCalls(table, listing);
   if (!listing.complete) return;
   ResolveUnlistedRuns(table, now, call, listed);
   MarkComplete(table);
@@ -877,9 +877,9 @@
     table.settled = true;
     MarkComplete(table);
   }
-  if (table.held_back &&
+  if (table.has_former_lease &&
       table.former_lease_until <= now + kLeaseGrantDuration) {
-    table.held_back = false;
+    table.has_former_lease = false;
     ++table.version;
   }
   if (table.worker.responsive) return;
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -153,23 +153,24 @@
   /// Longest lease that a worker gives, whatever end a call asks for.
   Duration max_worker_lease = kDefaultMaxWorkerLease;
   /// Latest lease end that was sent to the present worker process, and the
-  /// latest one in a call without an answer and when that call ended; on the
+  /// latest one in a call without an answer and when that call ended, on the
   /// process's clock.
   int64_t lease_sent_ms = 0;
   int64_t unanswered_lease_ms = 0;
   MonotonicTime unanswered_lease_at{};
   /// A call names its worker by the id alone, so that a process which starts
-  /// again under that id carries out calls that were meant for the former one,
-  /// with lease ends on the former one's clock. This is the latest of them that
-  /// may still arrive; 0 if none may.
-  int64_t former_lease_ms = 0;
+  /// again under that id carries out calls that were meant for the former one.
+  /// This is the latest lease end of those that may still arrive, on the former
+  /// process's clock; 0 if none may.
+  int64_t former_lease_end_ms = 0;
   /// Calls with a lower fencing number may have been meant for a former
   /// process. They are void once the worker has answered one with this number.
   uint64_t process_fencing = 0;
   /// Leases that the worker process took from such calls end by then.
   MonotonicTime former_lease_until{};
-  /// These leases last for longer than a planner can grant one.
-  bool held_back = false;
+  /// These leases last for longer than a planner can grant one; until then the
+  /// planner is told so.
+  bool has_former_lease = false;
 
   /// When the worker last answered a call.
   MonotonicTime worker_heard_at{};
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -482,20 +482,20 @@
                       ready_step.step, 0};
   if (spec.gang || !HasSuspect(shard, first)) return;
   SuspectLimits& limits = pass.suspect_limits[terms.service];
-  // Tasks of the step that may share a test, and others, for which no VM was
-  // found.
-  bool unmet[] = {false, false};
+  bool no_vm_for_shared_test = false;
+  bool no_vm_for_own_test = false;
   TaskKey key = first;
   for (; key.index < tasks.size(); ++key.index) {
     TaskEntity& task = tasks[key.index];
     if (task.phase != TaskPhase::kIdle || task.not_before > now) continue;
     if (!shard.suspects.contains(key)) continue;
     const bool may_share = MayShareTest(task);
-    if (unmet[may_share ? 0 : 1]) continue;
+    bool& no_vm = may_share ? no_vm_for_shared_test : no_vm_for_own_test;
+    if (no_vm) continue;
     CandidateVm* const vm = ChooseVmOfSuspect(
         shard, pass, terms, spec, key, may_share ? limits.group_size : 1);
     if (vm == nullptr) {
-      unmet[may_share ? 0 : 1] = true;
+      no_vm = true;
       continue;
     }
     Reserve(shard, *vm, spec);
--- a/source/sched/suspects.cc
+++ b/source/sched/suspects.cc
@@ -16,9 +16,9 @@
 // innocent.
 //
 // Load pattern: a worker crashes by chance some time after many tasks have
-// started. All but one of them are innocent at most, and each test takes longer
-// than the crash took to come. Tasks that one worker has crashed under are then
-// started in groups, on several VMs; a second crash names one group only.
+// started. At most one of them is guilty, and a test takes longer than the
+// crash took to come. Such suspects are started in groups on several VMs, and a
+// second crash names one group only.
 
 namespace almondtally::sched {
 namespace {
@@ -60,8 +60,8 @@
 /// one after the other, which takes little time.
 constexpr Duration kMaxQuickCrashDelay{200};
 /// Suspects are started in groups if their tests one after the other would take
-/// longer than this. Callers are guaranteed that a lasting task is back within
-/// 6 s while there is room, and a group may crash once more.
+/// longer than this: callers are guaranteed that a lasting task is back within
+/// 6 s while there is room.
 constexpr Duration kMaxTestQueue{4'000};
 
 Decision MakeDecision(Decision::Kind kind, const TaskKey& task, const VmId& vm,
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -769,7 +769,7 @@
   WorkerListing listing = Listing(500, 200);
   listing.running.push_back({kTask, RunNumber(2)});
   ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), listing);
-  CHECK(table.held_back);
+  CHECK(table.has_former_lease);
   CHECK(BeginStopCalls(table, kNow).empty());
 }
 
@@ -782,7 +782,7 @@
   CHECK(BeginRenewal(table, kNow)->call.fencing > before);
 }
 
-TEST_CASE("a worker is held back only while a lease can outlast a grant") {
+TEST_CASE("a former lease counts only while it can outlast a grant") {
   RunTable table = StartOnRestartedWorker(CallOutcome::kUnknown);
   ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
                      Listing(500, 200));
@@ -793,10 +793,10 @@
   const Duration longest = kWorkerMaxLease + kWorkerMaxLease * 3 / 100;
   const MonotonicTime end = kNow + longest - kLeaseGrantDuration;
   ExpireLeases(table, end - Duration(1));
-  CHECK(table.held_back);
+  CHECK(table.has_former_lease);
   const uint64_t version = table.version;
   ExpireLeases(table, end);
-  CHECK_FALSE(table.held_back);
+  CHECK_FALSE(table.has_former_lease);
   CHECK(table.version > version);
   CHECK(MakeReport(table, end, Request(table)).former_lease_ms == 0);
 }
@@ -817,7 +817,7 @@
   }
   ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
                      Listing(400, 200));
-  CHECK_FALSE(table.held_back);
+  CHECK_FALSE(table.has_former_lease);
 }
 
 TEST_CASE("a worker with another id takes no lease of the former one") {
@@ -825,7 +825,7 @@
   ApplyWorkerHello(table, kNow, Hello("w2", 200));
   ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
                      Listing(500, 200));
-  CHECK_FALSE(table.held_back);
+  CHECK_FALSE(table.has_former_lease);
 }
 
 // Regression test: a worker whose first announcement had no start time was
