Suspects are not started beside tasks that have just started

What callers saw: one more crash of a worker, with all that ran there, until a deadly task is given up.

Cause: the VM of a suspect was chosen by what a crash would end there. Tasks that had started there within 0.1 s before are suspected with it, so that the crash names no one.

Change: of the VMs with room, one without late starts of other tasks goes first (`HasLateStart`), then the one where least is lost.

Test: suspects_test "a suspect is not started on a VM where others have just started" failed before (the other VM was chosen).

--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -442,15 +442,29 @@
   return sum;
 }
 
-/// Returns the VM on which a crash would do least harm.
+/// @return true if a run that is no suspect was started on the VM so lately
+/// that a crash would make it one.
+bool HasLateStart(const ShardState& shard, const VmEntity& vm,
+                  MonotonicTime now) {
+  return std::any_of(vm.runs.begin(), vm.runs.end(), [&](const auto& it) {
+    const VmRun& run = it.second;
+    const bool is_late = run.phase == RunPhase::kStarting ||
+                         now - run.running_since <= kCrashSuspectWindow;
+    return is_late && !shard.suspects.contains(it.first);
+  });
+}
+
+/// Returns the VM on which a crash would do least harm, if possible one on
+/// which no other task could be taken for its cause.
 /// @param group_size how many suspects may be placed there in this pass.
 /// @return null if no VM may run the suspect now.
-CandidateVm* ChooseVmOfSuspect(const ShardState& shard, PlacementPass& pass,
-                               const QueueTerms& terms, const StepSpec& step,
-                               const TaskKey& key, size_t group_size) {
+CandidateVm* ChooseVmOfSuspect(const ShardState& shard, MonotonicTime now,
+                               PlacementPass& pass, const QueueTerms& terms,
+                               const StepSpec& step, const TaskKey& key,
+                               size_t group_size) {
   const size_t free_vms = pass.suspect_limits[terms.service].free_vms;
   CandidateVm* best = nullptr;
-  int64_t least_loss = 0;
+  std::pair<bool, int64_t> least{};
   for (CandidateVm& candidate : pass.candidates) {
     if (candidate.busy_with_suspect) continue;
     if (candidate.suspects_placed >= group_size) continue;
@@ -461,9 +475,11 @@
     }
     if (!candidate.loss_on_crash)
       candidate.loss_on_crash = LossOnCrash(*candidate.vm, shard);
-    if (best != nullptr && *candidate.loss_on_crash >= least_loss) continue;
+    const std::pair harm(HasLateStart(shard, *candidate.vm, now),
+                         *candidate.loss_on_crash);
+    if (best != nullptr && harm >= least) continue;
     best = &candidate;
-    least_loss = *candidate.loss_on_crash;
+    least = harm;
   }
   return best;
 }
@@ -493,7 +509,7 @@
     bool& no_vm = may_share ? no_vm_for_shared_test : no_vm_for_own_test;
     if (no_vm) continue;
     CandidateVm* const vm = ChooseVmOfSuspect(
-        shard, pass, terms, spec, key, may_share ? limits.group_size : 1);
+        shard, now, pass, terms, spec, key, may_share ? limits.group_size : 1);
     if (vm == nullptr) {
       no_vm = true;
       continue;
--- a/tests/sched/suspects_test.cc
+++ b/tests/sched/suspects_test.cc
@@ -449,6 +449,40 @@
   CHECK(VmOf(shard, task)->runs.size() == 1);
 }
 
+// Issue 26, BUDGET: a deadly task took one crash more, because others had been
+// started on its VM just before and were suspected with it.
+TEST_CASE("a suspect is not started on a VM where others have just started") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 3);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  CrashOnce(shard, kNow, task, kOnlySuspect);
+  AcceptJob(shard, "long", {Step(1, 3'500)});
+  Place(shard);
+  VmEntity* const busy = VmOf(shard, Key("long", 0, 0));
+  REQUIRE(busy != nullptr);
+  ReportAllRunning(shard, *busy);
+  const MonotonicTime later = kNow + Duration(45);
+  AcceptJob(shard, "short", {Step(1, 1'000)});
+  Place(shard, later);
+  VmEntity* const started = VmOf(shard, Key("short", 0, 0));
+  REQUIRE(started != nullptr);
+  REQUIRE(started != busy);
+  ReportAllRunning(shard, *started, later);
+  // The VM whose worker crashed is away, so that these two are left.
+  for (auto& [id, vm] : shard.vms) vm.worker.draining |= vm.runs.empty();
+  Duration since_start{60};
+  VmEntity* expected = busy;
+  SUBCASE("at once") {}
+  SUBCASE("after a while") {
+    since_start = Duration(200);
+    expected = started;
+  }
+  busy->worker.capacity.cpu = MilliCpu(8'000);
+  Place(shard, later + since_start);
+  CHECK(VmOf(shard, task) == expected);
+}
+
 // Placing the backlog on a restarted VM would lose it to the next crash.
 TEST_CASE("a VM whose worker crashed is kept free for suspects for a moment") {
   ShardState shard = NewBoard();
