Move leases of a former worker process to a file of their own

No change of behaviour; the allowance for drift and the longest lease are defined once, in messages.h. agent_test passes.

--- /dev/null
+++ b/source/agent/former_lease.cc
@@ -0,0 +1,67 @@
+#include "agent/former_lease.h"
+
+#include <algorithm>
+
+namespace almondtally::sched::detail {
+namespace {
+
+/// A call without an answer may be carried out as late as this.
+constexpr Duration kMaxCallDelay{15'000};
+
+}  // namespace
+
+void RecordUnansweredLease(RunTable& table, MonotonicTime now,
+                           const WorkerCall& call) {
+  table.unanswered_lease_ms =
+      std::max(table.unanswered_lease_ms, call.lease_until_ms);
+  table.unanswered_lease_at = now;
+}
+
+void RecordLeasesOfFormerWorker(RunTable& table, MonotonicTime now,
+                                bool same_id) {
+  if (!same_id) table.former_lease_end_ms = 0;
+  if (same_id && now - table.unanswered_lease_at <= kMaxCallDelay) {
+    table.former_lease_end_ms =
+        std::max(table.former_lease_end_ms, table.unanswered_lease_ms);
+  }
+  if (same_id && !table.leases_in_flight.empty()) {
+    table.former_lease_end_ms =
+        std::max(table.former_lease_end_ms, table.lease_sent_ms);
+  }
+  table.lease_sent_ms = 0;
+  table.unanswered_lease_ms = 0;
+  table.former_lease_until = {};
+  table.has_former_lease = false;
+}
+
+void UpdateLeasesOfFormerWorker(RunTable& table, MonotonicTime now,
+                                const RenewCall& call,
+                                const WorkerListing& listing) {
+  if (table.former_lease_end_ms == 0) return;
+  const Duration until_end(table.former_lease_end_ms - listing.clock_ms);
+  const Duration longest =
+      std::clamp(until_end, Duration(0), table.max_worker_lease);
+  table.former_lease_until = now + longest + longest * kClockDriftPercent / 100;
+  table.has_former_lease = table.former_lease_until > now + kLeaseGrantDuration;
+  if (call.call.fencing >= table.process_fencing) table.former_lease_end_ms = 0;
+}
+
+void StopRunsOfFormerCalls(RunTable& table, const WorkerListing& listing) {
+  for (const WorkerRun& listed : listing.running) {
+    const auto it = table.runs.find(listed.task);
+    if (it == table.runs.end()) continue;
+    AgentRun& run = it->second;
+    if (run.call_fencing < table.process_fencing) run.stop_requested = true;
+  }
+}
+
+void ExpireLeasesOfFormerWorker(RunTable& table, MonotonicTime now) {
+  if (!table.has_former_lease ||
+      table.former_lease_until > now + kLeaseGrantDuration) {
+    return;
+  }
+  table.has_former_lease = false;
+  ++table.version;
+}
+
+}  // namespace almondtally::sched::detail
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -4,7 +4,16 @@
 #include <set>
 #include <utility>
 
+#include "agent/former_lease.h"
+
 namespace almondtally::sched {
+
+using detail::ExpireLeasesOfFormerWorker;
+using detail::RecordLeasesOfFormerWorker;
+using detail::RecordUnansweredLease;
+using detail::StopRunsOfFormerCalls;
+using detail::UpdateLeasesOfFormerWorker;
+
 namespace {
 
 /// How long a renewal waits for a new end. If its answer is lost, ends remain
@@ -20,14 +29,6 @@
 constexpr Duration kCallRetryInterval{500};
 /// Minimum time between two reports of changed measures of a run.
 constexpr Duration kMeasureReportInterval{250};
-/// Allowance for drift: the worker's clock may be up to 2% slow. Rounded up.
-constexpr int64_t kClockDriftPercent = 3;
-/// All leases granted to an earlier agent process have expired after this time.
-constexpr Duration kMaxLease = kLeaseGrantDuration +
-                               kLeaseGrantDuration * kClockDriftPercent / 100 +
-                               kLeaseExpiryMargin;
-/// A call without an answer may be carried out as late as this.
-constexpr Duration kMaxCallDelay{15'000};
 /// A fencing number holds the planner's epoch in its high bits; the low bits
 /// count within that epoch.
 constexpr int kFencingBitsPerEpoch = 24;
@@ -345,15 +346,6 @@
   table.lease_sent_ms = std::max(table.lease_sent_ms, call.lease_until_ms);
 }
 
-/// Notes the lease end of a call that the present worker process has not
-/// answered.
-void RecordUnansweredLease(RunTable& table, MonotonicTime now,
-                           const WorkerCall& call) {
-  table.unanswered_lease_ms =
-      std::max(table.unanswered_lease_ms, call.lease_until_ms);
-  table.unanswered_lease_at = now;
-}
-
 /// Updates the latest lease end that the worker may have received after a call
 /// that carried a lease.
 void RecordLeaseResult(RunTable& table, MonotonicTime now,
@@ -464,53 +456,6 @@
   if (table.complete_version == 0) table.complete_version = ++table.version;
 }
 
-/// Notes which lease ends of the former worker process may reach the one that
-/// replaces it.
-/// @param same_id the new process has the id of the former one. A worker with
-/// another id rejects the calls.
-void RecordLeasesOfFormerWorker(RunTable& table, MonotonicTime now,
-                                bool same_id) {
-  if (!same_id) table.former_lease_end_ms = 0;
-  if (same_id && now - table.unanswered_lease_at <= kMaxCallDelay) {
-    table.former_lease_end_ms =
-        std::max(table.former_lease_end_ms, table.unanswered_lease_ms);
-  }
-  if (same_id && !table.leases_in_flight.empty()) {
-    table.former_lease_end_ms =
-        std::max(table.former_lease_end_ms, table.lease_sent_ms);
-  }
-  table.lease_sent_ms = 0;
-  table.unanswered_lease_ms = 0;
-  table.former_lease_until = {};
-  table.has_former_lease = false;
-}
-
-/// Determines how long the leases last that the worker process took from calls
-/// meant for a former one.
-/// @param call answered by the present process.
-void UpdateLeasesOfFormerWorker(RunTable& table, MonotonicTime now,
-                                const RenewCall& call,
-                                const WorkerListing& listing) {
-  if (table.former_lease_end_ms == 0) return;
-  const Duration until_end(table.former_lease_end_ms - listing.clock_ms);
-  const Duration longest =
-      std::clamp(until_end, Duration(0), table.max_worker_lease);
-  table.former_lease_until = now + longest + longest * kClockDriftPercent / 100;
-  table.has_former_lease = table.former_lease_until > now + kLeaseGrantDuration;
-  if (call.call.fencing >= table.process_fencing) table.former_lease_end_ms = 0;
-}
-
-/// Stops the runs that the worker process has started by calls meant for a
-/// former one: their leases last for longer than a later planner counts on.
-void StopRunsOfFormerCalls(RunTable& table, const WorkerListing& listing) {
-  for (const WorkerRun& listed : listing.running) {
-    const auto it = table.runs.find(listed.task);
-    if (it == table.runs.end()) continue;
-    AgentRun& run = it->second;
-    if (run.call_fencing < table.process_fencing) run.stop_requested = true;
-  }
-}
-
 /// @param kept see EndRunsOfFormerWorker.
 /// @param same_id see RecordLeasesOfFormerWorker.
 void ReplaceWorker(RunTable& table, MonotonicTime now,
@@ -873,15 +818,12 @@
 }
 
 void ExpireLeases(RunTable& table, MonotonicTime now) {
-  if (!table.settled && now - table.started_at > kMaxLease) {
+  // All leases granted to an earlier agent process have expired.
+  if (!table.settled && now - table.started_at > kMaxLeaseDuration) {
     table.settled = true;
     MarkComplete(table);
   }
-  if (table.has_former_lease &&
-      table.former_lease_until <= now + kLeaseGrantDuration) {
-    table.has_former_lease = false;
-    ++table.version;
-  }
+  ExpireLeasesOfFormerWorker(table, now);
   if (table.worker.responsive) return;
   MonotonicTime sent_until =
       std::max(table.lease_sent_until, table.former_lease_until);
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -14,13 +14,15 @@
 /// than a planner failover or an agent restart, yet short enough to replace a
 /// lost VM while its jobs are still of value.
 inline constexpr Duration kLeaseGrantDuration{5'000};
+/// Allowance for drift: a worker's clock may be up to 2% slow. Rounded up.
+inline constexpr int64_t kClockDriftPercent = 3;
 /// Extra time after a lease ends before its runs are assumed to have stopped:
-/// the worker's clock may be 2% slow, and timers fire late.
+/// timers fire late.
 inline constexpr Duration kLeaseExpiryMargin{200};
-/// Time after which a lease has surely expired: a worker's clock may be up to
-/// 2% slow, rounded up.
+/// Time after which a lease has surely expired.
 inline constexpr Duration kMaxLeaseDuration =
-    kLeaseGrantDuration + kLeaseGrantDuration * 3 / 100 + kLeaseExpiryMargin;
+    kLeaseGrantDuration + kLeaseGrantDuration * kClockDriftPercent / 100 +
+    kLeaseExpiryMargin;
 
 namespace path {
 /// Planner to agent: sends orders, returns a report.
