Leases of the last but one worker process count as well

What callers would see: TWICE. A worker starts again twice within 15 s, and its third process carries out a start that was meant for the first; cut off then, it goes on for up to 10 s, while the agent gives the run up after 5.35 s. Found by reading, not seen in a run.

Cause: `RecordLeasesOfFormerWorker` forgot the unanswered calls when the second process had answered. The fencing number that makes them void was shown to that process only.

Change: unanswered lease ends are kept for as long as a call may arrive, however often the worker is replaced under its id.

Test: run_table_test "runs that a worker took for its last but one process outlast" failed before (given up before 10 s); its second part shows that a worker is not waited for once the call can arrive no more.

--- a/source/agent/former_lease.cc
+++ b/source/agent/former_lease.cc
@@ -8,28 +8,34 @@
 /// A call without an answer may be carried out as late as this.
 constexpr Duration kMaxCallDelay{15'000};
 
+/// Forgets the unanswered calls that can no longer be carried out.
+void ExpireUnansweredLeases(RunTable& table, MonotonicTime now) {
+  if (now - table.unanswered_lease_at <= kMaxCallDelay) return;
+  table.unanswered_lease_ms = 0;
+}
+
 }  // namespace
 
 void RecordUnansweredLease(RunTable& table, MonotonicTime now,
-                           const WorkerCall& call) {
+                           int64_t lease_until_ms) {
+  if (lease_until_ms == 0) return;
+  ExpireUnansweredLeases(table, now);
   table.unanswered_lease_ms =
-      std::max(table.unanswered_lease_ms, call.lease_until_ms);
+      std::max(table.unanswered_lease_ms, lease_until_ms);
   table.unanswered_lease_at = now;
 }
 
 void RecordLeasesOfFormerWorker(RunTable& table, MonotonicTime now,
                                 bool same_id) {
-  if (!same_id) table.former_lease_end_ms = 0;
-  if (same_id && now - table.unanswered_lease_at <= kMaxCallDelay) {
-    table.former_lease_end_ms =
-        std::max(table.former_lease_end_ms, table.unanswered_lease_ms);
-  }
-  if (same_id && !table.leases_in_flight.empty()) {
-    table.former_lease_end_ms =
-        std::max(table.former_lease_end_ms, table.lease_sent_ms);
+  if (!table.leases_in_flight.empty()) {
+    RecordUnansweredLease(table, now, table.lease_sent_ms);
   }
+  ExpireUnansweredLeases(table, now);
+  if (!same_id) table.unanswered_lease_ms = 0;
+  // Kept for the next process: it has not seen the fencing number that makes
+  // the call void.
+  table.former_lease_end_ms = table.unanswered_lease_ms;
   table.lease_sent_ms = 0;
-  table.unanswered_lease_ms = 0;
   table.former_lease_until = {};
   table.has_former_lease = false;
 }
--- a/source/agent/former_lease.h
+++ b/source/agent/former_lease.h
@@ -9,10 +9,10 @@
 
 namespace almondtally::sched::detail {
 
-/// Notes the lease end of a call that the present worker process has not
-/// answered.
+/// Notes the lease end of a call that the worker has not answered.
+/// @param lease_until_ms on the worker's clock; 0 if the call carried none.
 void RecordUnansweredLease(RunTable& table, MonotonicTime now,
-                           const WorkerCall& call);
+                           int64_t lease_until_ms);
 
 /// Notes which lease ends of the former worker process may reach the one that
 /// replaces it.
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -352,7 +352,7 @@
                        const WorkerCall& call, MonotonicTime lease_until,
                        CallOutcome outcome) {
   if (outcome == CallOutcome::kUnknown && call.worker == table.worker.id) {
-    RecordUnansweredLease(table, now, call);
+    RecordUnansweredLease(table, now, call.lease_until_ms);
   }
   const auto it = table.leases_in_flight.find(lease_until);
   if (it != table.leases_in_flight.end()) table.leases_in_flight.erase(it);
@@ -762,7 +762,7 @@
     if (is_former) return;
     // The process that answers is the worker, whatever was announced. It has
     // taken the lease that the call carried.
-    RecordUnansweredLease(table, now, call.call);
+    RecordUnansweredLease(table, now, call.call.lease_until_ms);
     ReplaceWorker(table, now, ListRunsOfNewProcess(table, call, listing), true);
     table.worker_born_ms = listing.born_ms;
     table.worker_announced_at = now;
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -152,10 +152,11 @@
 
   /// Longest lease that a worker gives, whatever end a call asks for.
   Duration max_worker_lease = kDefaultMaxWorkerLease;
-  /// Latest lease end that was sent to the present worker process, and the
-  /// latest one in a call without an answer and when that call ended, on the
-  /// process's clock.
+  /// Latest lease end that was sent to the present worker process, on its
+  /// clock.
   int64_t lease_sent_ms = 0;
+  /// Latest lease end in a call that a process of the worker has not answered,
+  /// on the clock of that process, and when the last such call ended.
   int64_t unanswered_lease_ms = 0;
   MonotonicTime unanswered_lease_at{};
   /// A call names its worker by the id alone, so that a process which starts
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -744,6 +744,33 @@
   CHECK(table.former_lease_until >= kNow + kWorkerMaxLease);
 }
 
+// Issue 42, TWICE: what the first process may have been sent was forgotten when
+// the second one had answered.
+TEST_CASE("runs that a worker took for its last but one process outlast") {
+  RunTable table = StartOnRestartedWorker(CallOutcome::kUnknown);
+  MonotonicTime now = kNow;
+  for (int i = 0; i < 2; ++i) {
+    now += Duration(100);
+    ApplyWorkerListing(table, now, *BeginRenewal(table, now),
+                       Listing(500, 200));
+  }
+  REQUIRE(table.runs.empty());
+  bool may_arrive = true;
+  SUBCASE("the call may still arrive") { now += Duration(3'000); }
+  SUBCASE("the call can arrive no more") {
+    now += Duration(20'000);
+    may_arrive = false;
+  }
+  HandleRenewalFailure(table, now, *BeginRenewal(table, now),
+                       {CallOutcome::kRejected, "connect"});
+  WorkerListing listing = ListingOfRestartedWorker(500);
+  listing.born_ms = 300;
+  for (int i = 0; i < 2; ++i) {
+    ApplyWorkerListing(table, now, *BeginRenewal(table, now), listing);
+  }
+  CHECK((FindGiveUpTime(table, now) >= now + kWorkerMaxLease) == may_arrive);
+}
+
 TEST_CASE("runs that a worker took for its former process are stopped") {
   RunTable table = StartOnRestartedWorker(CallOutcome::kUnknown);
   ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
