A run with an odd value is listed by its task and number

What callers would see: TWICE. A worker lists a run with a checkpoint, share or measure that cannot be decoded. The run was skipped; 11 s after a takeover the planner takes it for gone and starts its task again, while its own leases keep the run alive. Found by reading, not seen in a run.

Cause: the decoder asked for all fields, where task and number are enough to know that the run is there.

--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -156,6 +156,25 @@
   CHECK(listing->ended[0].number == 4);
 }
 
+// Issue 42, TWICE: a run with an odd value was not in the list, and its task
+// was started again 11 s after a takeover.
+TEST_CASE("a running row with odd values is listed by task and run") {
+  for (const char* row :
+       {R"(["j.0.0.1",3])", R"(["j.0.0.1",3,null,null,null])",
+        R"(["j.0.0.1",3,7,"50","1"])", R"(["j.0.0.1",3,[],{},[[]]])"}) {
+    CAPTURE(std::string(row));
+    const auto listing = DecodeListing(R"({"clockMs":5,"running":[)" +
+                                       std::string(row) + R"(],"ended":[]})");
+    REQUIRE(listing);
+    CHECK(listing->complete);
+    REQUIRE(listing->running.size() == 1);
+    CHECK(listing->running[0].task.index == 1);
+    CHECK(listing->running[0].run == sched::RunNumber(3));
+    CHECK(listing->running[0].checkpoint.empty());
+    CHECK(listing->running[0].measurement == -1);
+  }
+}
+
 TEST_CASE("a list with the largest number of ends is not complete") {
   const auto is_complete = [](int ends) {
     std::string rows;
