--- a/source/sched/detail.h
+++ b/source/sched/detail.h
@@ -52,6 +52,10 @@
 /// @param vm has just reported.
 void ClearProvenSuspects(ShardState& shard, const VmEntity& vm, Decisions& log);
 
+/// Restores the stored crashes of a task, which they may make a suspect.
+void RestoreCrashes(ShardState& shard, const TaskKey& key, TaskEntity& task,
+                    const std::vector<CrashedRun>& crashes);
+
 /// VMs that run suspects.
 struct SuspectTests {
   std::set<VmId> vms;
--- a/source/sched/shard_state.cc
+++ b/source/sched/shard_state.cc
@@ -136,15 +136,9 @@
     for (const TaskCrashes& crashed : row.crashes) {
       if (crashed.index >= step.tasks.size() || crashed.runs.empty()) continue;
       TaskEntity& task = step.tasks[crashed.index];
-      task.crashed_runs = crashed.runs;
-      for (const CrashedRun& it : crashed.runs) {
-        note_run(task, it.run);
-        task.longest_crash_delay =
-            std::max(task.longest_crash_delay, Duration(it.delay_ms));
-      }
-      const TaskKey key{spec.id, row.occurrence, row.step, crashed.index};
-      shard.crashed_tasks.insert(key);
-      shard.suspects.insert(key);
+      for (const CrashedRun& it : crashed.runs) note_run(task, it.run);
+      RestoreCrashes(shard, {spec.id, row.occurrence, row.step, crashed.index},
+                     task, crashed.runs);
     }
   }
   for (auto& [number, occurrence] : job.occurrences) {
--- a/source/sched/suspects.cc
+++ b/source/sched/suspects.cc
@@ -1,9 +1,12 @@
 #include <algorithm>
+#include <cstdlib>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "sched/detail.h"
 #include "sched/shard_state.h"
@@ -20,13 +23,19 @@
 // started. At most one of them is guilty, and a test takes longer than the
 // crash took to come. Such suspects are started in groups on several VMs, and a
 // second crash names one group only.
+//
+// Load pattern: a task crashes its worker some seconds after each start, and
+// all tasks that run there meanwhile are lost. Such crashes accuse a task only
+// if several came about as long after its starts.
 
 namespace almondtally::sched {
 namespace {
 
+/// A single crash within this time of a start makes the task a suspect.
+constexpr Duration kMaxEarlyCrashDelay{2'000};
 /// A run that was started longer than this before its worker crashed did not
 /// cause the crash.
-constexpr Duration kMaxCrashDelay{2'000};
+constexpr Duration kMaxCrashDelay{10'000};
 /// A suspect that has run for this long is cleared. Longer than an agent takes
 /// to notice that its worker does not answer.
 constexpr Duration kMinProofTime{800};
@@ -42,9 +51,10 @@
 /// Crashes after which a task is given up if it was the only suspect of the
 /// last one, and all came about as long after its starts.
 constexpr size_t kCrashesOfOnlySuspect = 3;
-/// Crashes that a task causes come after delays that differ by less than this.
-/// The delays of crashes by chance are spread over kMaxCrashDelay.
+/// Crashes that a task causes come after delays that differ by at most this, or
+/// by this part of the longer one. The delays of crashes by chance are spread.
 constexpr Duration kMaxDelaySpread{200};
+constexpr int64_t kMaxDelaySpreadPart = 10;
 /// Crashes after which a task is given up whatever else was started, and
 /// however long after its starts they came.
 constexpr size_t kCrashesOfOneOfMany = 4;
@@ -84,38 +94,92 @@
   return crash.run_age_ms >= 0 && Duration(crash.run_age_ms) <= kMaxCrashDelay;
 }
 
-size_t CountCrashes(const TaskEntity& task, RunProof at_least) {
+/// @return true for delays that are not known, too.
+bool IsEarly(const CrashedRun& crash) {
+  return Duration(crash.delay_ms) <= kMaxEarlyCrashDelay;
+}
+
+bool AreSimilar(int64_t delay_ms, int64_t other_ms) {
+  const int64_t longer = std::max(delay_ms, other_ms);
+  const int64_t spread =
+      std::max(kMaxDelaySpread.count(), longer / kMaxDelaySpreadPart);
+  return std::abs(delay_ms - other_ms) <= spread;
+}
+
+/// @return true if two crashes may both be due to the task: all early ones, and
+/// those that came about as long after its starts.
+bool AccuseTogether(const CrashedRun& crash, const CrashedRun& other) {
+  return (IsEarly(crash) && IsEarly(other)) ||
+         AreSimilar(crash.delay_ms, other.delay_ms);
+}
+
+/// @return the crashes that accuse the task together with `last`.
+std::vector<CrashedRun> ListCrashesLike(const TaskEntity& task,
+                                        const CrashedRun& last) {
+  std::vector<CrashedRun> out;
+  std::copy_if(task.crashed_runs.begin(), task.crashed_runs.end(),
+               std::back_inserter(out),
+               [&](const CrashedRun& it) { return AccuseTogether(it, last); });
+  return out;
+}
+
+size_t CountCrashes(const std::vector<CrashedRun>& crashes, RunProof at_least) {
   return std::count_if(
-      task.crashed_runs.begin(), task.crashed_runs.end(),
+      crashes.begin(), crashes.end(),
       [&](const CrashedRun& it) { return it.proof >= at_least; });
 }
 
 /// @return true if all crashes came about as long after the starts of the task.
 /// Runs that may not have begun, and delays that are not known, are left out.
-bool HaveSimilarDelays(const TaskEntity& task) {
+bool HaveSimilarDelays(const std::vector<CrashedRun>& crashes) {
   int64_t shortest = std::numeric_limits<int64_t>::max();
   int64_t longest = 0;
-  for (const CrashedRun& it : task.crashed_runs) {
+  for (const CrashedRun& it : crashes) {
     if (it.proof == RunProof::kNone || it.delay_ms < 0) continue;
     shortest = std::min(shortest, it.delay_ms);
     longest = std::max(longest, it.delay_ms);
   }
-  return longest <= shortest || Duration(longest - shortest) <= kMaxDelaySpread;
+  return longest <= shortest || AreSimilar(shortest, longest);
 }
 
+/// @param crashes that accuse the task together with the last one.
 /// @param only_suspect no other task was started before the last crash.
 /// @return true if a task is to be given up.
-bool IsProvenDeadly(const TaskEntity& task, bool only_suspect) {
-  const size_t crashes = task.crashed_runs.size();
-  if (crashes >= kMaxCrashes) return true;
-  if (CountCrashes(task, RunProof::kIsolated) < kLikelyCrashes) return false;
-  if (crashes >= kCrashesOfOneOfMany) return true;
+bool IsProvenDeadly(const TaskEntity& task,
+                    const std::vector<CrashedRun>& crashes, bool only_suspect) {
+  const size_t n = crashes.size();
+  if (n >= kMaxCrashes) return true;
+  if (CountCrashes(crashes, RunProof::kIsolated) < kLikelyCrashes) return false;
+  if (n >= kCrashesOfOneOfMany) return true;
   if (!only_suspect) return false;
-  return (crashes >= kCrashesOfOnlySuspect && HaveSimilarDelays(task)) ||
-         (CountCrashes(task, RunProof::kConfirmed) >= kLikelyCrashes &&
+  return (n >= kCrashesOfOnlySuspect && HaveSimilarDelays(crashes)) ||
+         (CountCrashes(crashes, RunProof::kConfirmed) >= kLikelyCrashes &&
           task.longest_crash_delay <= kImmediateCrashDelay);
 }
 
+/// @param only_suspect no other task was started before the crash.
+/// @return what is known of the start of a run whose worker crashed.
+RunProof ProofOfStart(const CrashEvidence& crash, bool only_suspect) {
+  if (crash.start == StartEvidence::kConfirmed) return RunProof::kConfirmed;
+  if (crash.start == StartEvidence::kCutOff && only_suspect) {
+    return RunProof::kIsolated;
+  }
+  return RunProof::kNone;
+}
+
+/// Adds a crash to those of the task. The oldest one that does not accuse it
+/// together with the new one makes room.
+void AddCrash(TaskEntity& task, const CrashedRun& crash) {
+  auto& crashes = task.crashed_runs;
+  if (crashes.size() >= kMaxCrashes) {
+    const auto unlike = std::find_if(
+        crashes.begin(), crashes.end(),
+        [&](const CrashedRun& it) { return !AccuseTogether(it, crash); });
+    crashes.erase(unlike == crashes.end() ? crashes.begin() : unlike);
+  }
+  crashes.push_back(crash);
+}
+
 /// @return how long a suspect has to run until it is cleared.
 Duration ProofTime(const TaskEntity& task) {
   return std::max(kMinProofTime, kDelayFactor * task.longest_crash_delay);
@@ -131,14 +195,25 @@
          run.running_since != MonotonicTime{};
 }
 
-/// @return true if reports show that a run was at work for `time` and for
-/// longer than it takes the task to crash a worker. What has happened since the
-/// latest report was made is not known, however late that report is read.
-bool IsProvenAtWorkFor(const VmEntity& vm, const VmRun& run,
-                       const TaskEntity& task, Duration time) {
-  const Duration shown(vm.stamp.value - run.running_since_stamp.value);
-  return IsAtWork(vm, run) &&
-         shown >= std::max(time, kDelayFactor * task.longest_crash_delay);
+/// @return for how long reports show a run at work; 0 if it is not. What has
+/// happened since the latest report was made is not known, however late that
+/// report is read.
+Duration ShownAtWork(const VmEntity& vm, const VmRun& run) {
+  if (!IsAtWork(vm, run)) return Duration(0);
+  return Duration(vm.stamp.value - run.running_since_stamp.value);
+}
+
+/// Forgets the crashes that a run of the task has outlived.
+/// @param shown for how long the run is known to have been at work.
+/// @return true if any was forgotten.
+bool ForgetOutlivedCrashes(TaskEntity& task, Duration shown) {
+  const bool is_cleared = shown >= ProofTime(task);
+  const auto forgotten =
+      std::erase_if(task.crashed_runs, [&](const CrashedRun& it) {
+        return is_cleared &&
+               (IsEarly(it) || shown >= kDelayFactor * Duration(it.delay_ms));
+      });
+  return forgotten > 0;
 }
 
 /// @return true if a run has been at work for long enough to start the next
@@ -154,7 +229,7 @@
                         TaskEntity& task, VmEntity& vm, const RunEndReport& end,
                         Decisions& log) {
   if (!MayHaveCausedCrash(end.crash)) return;
-  auto& crashed = task.crashed_runs;
+  const auto& crashed = task.crashed_runs;
   const bool is_known =
       std::any_of(crashed.begin(), crashed.end(),
                   [&](const CrashedRun& it) { return it.run == end.run; });
@@ -162,36 +237,38 @@
   const Duration delay(end.crash.run_age_ms);
   const bool was_suspect = shard.suspects.contains(end.task);
   const bool outlived_test = was_suspect && delay > ProofTime(task);
-  task.longest_crash_delay = std::max(task.longest_crash_delay, delay);
+  const bool only_suspect = was_suspect && end.crash.suspects == 1;
+  const CrashedRun crash{end.run, ProofOfStart(end.crash, only_suspect),
+                         delay.count()};
+  const bool is_early = IsEarly(crash);
+  if (is_early) {
+    task.longest_crash_delay = std::max(task.longest_crash_delay, delay);
+  }
   // It ran long enough for the next suspect to start. If it is guilty all the
   // same, the longer delay makes it the last one next time.
   if (was_suspect && end.crash.suspects == 0) return;
-  const bool only_suspect = was_suspect && end.crash.suspects == 1;
-  RunProof proof = RunProof::kNone;
-  if (end.crash.start == StartEvidence::kConfirmed) {
-    proof = RunProof::kConfirmed;
-  } else if (end.crash.start == StartEvidence::kCutOff && only_suspect) {
-    proof = RunProof::kIsolated;
-  }
-  crashed.push_back({end.run, proof, delay.count()});
+  AddCrash(task, crash);
   shard.crashed_tasks.insert(end.task);
   MarkDirty(shard, end.task.job);
-  if (end.crash.suspects == 0 && crashed.size() < kCrashesOfSuspect) return;
+  const std::vector<CrashedRun> crashes = ListCrashesLike(task, crash);
+  const bool is_accused = is_early && end.crash.suspects > 0;
+  if (!is_accused && crashes.size() < kCrashesOfSuspect) return;
+  task.longest_crash_delay = std::max(task.longest_crash_delay, delay);
   shard.suspects.insert(end.task);
   task.not_before = now + kSuspectRestartDelay;
   vm.reserved_for_suspects_until = now + kReservation;
   Decision suspected = MakeDecision(
       Decision::Kind::kSuspected, end.task, vm.id, end.run,
       "one of " + std::to_string(end.crash.suspects) +
-          " suspects, crash number " + std::to_string(crashed.size()) +
-          (proof == RunProof::kConfirmed ? "" : ", start not confirmed"));
+          " suspects, crash number " + std::to_string(crashes.size()) +
+          (crash.proof == RunProof::kConfirmed ? "" : ", start not confirmed"));
   suspected.age_ms = end.crash.run_age_ms;
   log.push_back(std::move(suspected));
   // The report that clears the task was still on its way.
-  if (outlived_test && crashed.size() < kMaxCrashes) return;
-  if (!IsProvenDeadly(task, only_suspect)) return;
+  if (outlived_test && crashes.size() < kMaxCrashes) return;
+  if (!IsProvenDeadly(task, crashes, only_suspect)) return;
   log.push_back(MakeDecision(Decision::Kind::kGivenUp, end.task, vm.id, end.run,
-                             std::to_string(crashed.size()) +
+                             std::to_string(crashes.size()) +
                                  " workers crashed when they started it"));
   EndJob(shard, now, job, JobState::kFailed);
 }
@@ -203,29 +280,49 @@
     const TaskKey key = *it;
     const auto run = vm.runs.find(key);
     TaskEntity* const task = FindTask(shard, key);
-    const bool proven =
-        task != nullptr && run != vm.runs.end() &&
-        IsProvenAtWorkFor(vm, run->second, *task, kMinProofTime);
-    if (!proven) {
+    if (task == nullptr || run == vm.runs.end()) {
       ++it;
       continue;
     }
-    it = shard.crashed_tasks.erase(it);
-    task->crashed_runs.clear();
-    task->longest_crash_delay = {};
-    MarkDirty(shard, key.job);
-    if (shard.suspects.erase(key) == 0) continue;
+    const Duration shown = ShownAtWork(vm, run->second);
+    if (ForgetOutlivedCrashes(*task, shown)) MarkDirty(shard, key.job);
+    const bool is_cleared = shown >= ProofTime(*task);
+    if (is_cleared) task->longest_crash_delay = {};
+    if (task->crashed_runs.empty()) {
+      it = shard.crashed_tasks.erase(it);
+    } else {
+      ++it;
+    }
+    if (!is_cleared || shard.suspects.erase(key) == 0) continue;
     log.push_back(MakeDecision(Decision::Kind::kCleared, key, vm.id,
                                run->second.run, "the worker has not crashed"));
   }
 }
 
 bool MayShareTest(const TaskEntity& task) {
+  if (task.longest_crash_delay > kMaxEarlyCrashDelay) return false;
+  std::vector<CrashedRun> crashes = task.crashed_runs;
+  std::erase_if(crashes, [](const CrashedRun& it) { return !IsEarly(it); });
   const bool is_little_suspected =
-      task.crashed_runs.size() <= 1 || !HaveSimilarDelays(task);
+      crashes.size() <= 1 || !HaveSimilarDelays(crashes);
   return is_little_suspected && task.longest_crash_delay > kMaxQuickCrashDelay;
 }
 
+void RestoreCrashes(ShardState& shard, const TaskKey& key, TaskEntity& task,
+                    const std::vector<CrashedRun>& crashes) {
+  task.crashed_runs = crashes;
+  if (crashes.empty()) return;
+  shard.crashed_tasks.insert(key);
+  for (const CrashedRun& it : crashes) {
+    const bool is_accused =
+        IsEarly(it) || ListCrashesLike(task, it).size() >= kCrashesOfSuspect;
+    if (!is_accused) continue;
+    shard.suspects.insert(key);
+    task.longest_crash_delay =
+        std::max(task.longest_crash_delay, Duration(it.delay_ms));
+  }
+}
+
 SuspectTests ListSuspectTests(ShardState& shard, MonotonicTime now) {
   SuspectTests out;
   for (const TaskKey& key : shard.suspects) {
--- a/tests/sched/suspects_test.cc
+++ b/tests/sched/suspects_test.cc
@@ -306,8 +306,12 @@
     evidence = kNotLast;
     may_be_cause = true;
   }
-  SUBCASE("the run was on the worker for long") {
+  SUBCASE("the run was on the worker for some seconds") {
     evidence = {2'001, 1, kConfirmed};
+    may_be_cause = true;
+  }
+  SUBCASE("the run was on the worker for long") {
+    evidence = {10'001, 1, kConfirmed};
   }
   CrashWorker(shard, vm, kNow, {{task, evidence}}, end);
   CHECK(shard.suspects.empty());
@@ -691,8 +695,8 @@
   CHECK(running == 4);
 }
 
-// Known to fail, see KNOWN-RED.txt.
-TEST_CASE("a task that crashes workers late has a budget" * doctest::skip()) {
+// Issue 26, BUDGET: crashes 3 s after each start counted for nothing.
+TEST_CASE("a task that crashes workers late has a budget") {
   ShardState shard = NewBoard();
   AddVms(shard, 2);
   JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
@@ -706,6 +710,57 @@
   CHECK(job.state == JobState::kFailed);
 }
 
+TEST_CASE("late crashes after different times accuse no task") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 4);
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  MonotonicTime now = kNow;
+  for (const int64_t delay_ms : {9'000, 2'500, 4'000, 6'000, 2'100, 8'000}) {
+    CrashOnce(shard, now, Key("j", 0, 0), {delay_ms, 1, kConfirmed});
+    now += 5 * kLater;
+  }
+  CHECK(shard.suspects.empty());
+  CHECK(job.state == JobState::kPending);
+}
+
+TEST_CASE("late crashes are forgotten once a run has outlived them") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 2);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  CrashOnce(shard, kNow, task, {3'000, 1, kConfirmed});
+  const MonotonicTime start = kNow + kLater;
+  Place(shard, start);
+  VmEntity& vm = *VmOf(shard, task);
+  ReportAllRunning(shard, vm, start);
+  ReportAllRunning(shard, vm, start + Duration(5'900));
+  CHECK(FindTask(shard, task)->crashed_runs.size() == 1);
+  ReportAllRunning(shard, vm, start + Duration(6'000));
+  CHECK(FindTask(shard, task)->crashed_runs.empty());
+  CHECK(shard.crashed_tasks.empty());
+}
+
+TEST_CASE("late crashes count under the next planner") {
+  ShardState first = NewBoard();
+  AddVms(first, 4);
+  JobEntity& job = AcceptJob(first, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  const CrashEvidence late{3'000, 1, kConfirmed};
+  CrashOnce(first, kNow, task, late);
+  CrashOnce(first, kNow + 5 * kLater, task, late);
+  ShardState second = NewBoard();
+  second.epoch = PlannerEpoch(2);
+  AddVms(second, 4);
+  JobEntity& loaded = AcceptJob(second, "j", {Step(1, 1'000)});
+  ApplyProgress(second, kNow, loaded, MakeProgressRow(job));
+  CHECK(second.suspects.empty());
+  CrashOnce(second, kNow + 10 * kLater, task, late);
+  CHECK(second.suspects.contains(task));
+  CHECK(loaded.state == JobState::kPending);
+  CrashOnce(second, kNow + 15 * kLater, task, late);
+  CHECK(loaded.state == JobState::kFailed);
+}
+
 // Issue 26, BUDGET: the next planner took a task for harmless that had not run
 // for as long as it takes to crash its worker.
 TEST_CASE("a delayed crash counts under the next planner") {
