One task of each job that is too late goes before their others

What callers saw: LOST. Jobs accepted at 5 s had nothing running at 109 s, while later ones ended and room was free.

Cause: a job three objectives late ranks after all others of its priority, and among its like the one with the least work left goes first.

Change: of each job that is too late and has nothing running, one task goes before all others that are too late, the oldest job first. Jobs of value go first as before.

Tests: shard_state_test "one task of each job that is too late is at work" failed before (0 == 1 runs of the longer jobs); "a job that is too late holds up no job that is of value" guards the other side.

Tried: the task before late jobs as well.

--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -97,6 +97,8 @@
   uint32_t occurrence = 0;
   uint32_t step = 0;
   JobRank rank;
+  /// How many tasks may be placed.
+  size_t max_tasks = std::numeric_limits<size_t>::max();
 };
 
 bool AcceptsTasks(const ShardState& shard, const VmEntity& vm,
@@ -163,6 +165,18 @@
   return out;
 }
 
+bool HasPlacedTask(const JobEntity& job) {
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (const StepEntity& step : occurrence.steps) {
+      const bool is_placed = std::any_of(
+          step.tasks.begin(), step.tasks.end(),
+          [](const auto& it) { return it.phase == TaskPhase::kPlaced; });
+      if (is_placed) return true;
+    }
+  }
+  return false;
+}
+
 std::vector<ReadyStep> ListReadySteps(ShardState& shard, MonotonicTime now) {
   std::vector<ReadyStep> out;
   const bool recovering = IsRecovering(shard);
@@ -184,6 +198,13 @@
         it.step = i;
         it.rank = RankOf(job, occurrence, now);
         out.push_back(it);
+        const bool is_starving = it.rank.outlook == Outlook::kTooLate &&
+                                 !job.record.spec.steps[i].gang &&
+                                 !HasPlacedTask(job);
+        if (!is_starving) continue;
+        it.rank = RankOfStarving(it.rank);
+        it.max_tasks = 1;
+        out.push_back(it);
       }
     }
   }
@@ -413,7 +434,9 @@
   // The tasks of a step are alike, and its job cannot end before the suspect
   // does.
   if (has_suspect && !spec.lasting) return;
+  size_t placed = 0;
   for (; key.index < step.tasks.size(); ++key.index) {
+    if (placed >= ready_step.max_tasks) return;
     TaskEntity& task = step.tasks[key.index];
     if (task.phase != TaskPhase::kIdle || task.not_before > now) continue;
     if (has_suspect && shard.suspects.contains(key)) continue;
@@ -426,6 +449,7 @@
     Reserve(shard, *choice.vm, spec);
     AssignTask(shard, now, *choice.vm->vm, spec, key, task,
                NextRunNumber(shard, task.run), log);
+    ++placed;
   }
 }
 
--- a/source/sched/rank.cc
+++ b/source/sched/rank.cc
@@ -9,8 +9,8 @@
 // tasks arrive in bursts that exceed the free CPU for seconds. Ordering by
 // deadline alone makes every job late during a burst. Within a priority, jobs
 // that can still meet their objective therefore go first, shortest remaining
-// work first, then late jobs. Jobs too late to be of value go last but still
-// run.
+// work first, then late jobs. Jobs too late to be of value go last, but one
+// task of each is always at work.
 
 namespace almondtally::sched {
 namespace {
@@ -83,4 +83,11 @@
   return out;
 }
 
+JobRank RankOfStarving(const JobRank& rank) {
+  constexpr double kBeforeAnyWork = -1;
+  JobRank out = rank;
+  out.work_left = kBeforeAnyWork;
+  return out;
+}
+
 }  // namespace almondtally::sched
--- a/source/sched/rank.h
+++ b/source/sched/rank.h
@@ -27,4 +27,10 @@
 JobRank RankOf(const JobEntity& job, const OccurrenceEntity& occurrence,
                MonotonicTime now);
 
+/// @param rank of a job that is too late to be of value, and of which nothing
+/// runs.
+/// @return the rank of its next task: before all other tasks that are too late,
+/// the oldest job first.
+JobRank RankOfStarving(const JobRank& rank);
+
 }  // namespace almondtally::sched
--- a/tests/sched/shard_state_test.cc
+++ b/tests/sched/shard_state_test.cc
@@ -514,6 +514,44 @@
   CHECK(vm.runs.count(Key("late", 0, 0)) == 0);
 }
 
+// Issue 26, LOST: jobs accepted at 5 s had nothing running at 109 s, while
+// later ones ended.
+TEST_CASE("one task of each job that is too late is at work") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a", 4'000);
+  const auto accept = [&](const std::string& id, int64_t estimate_ms) {
+    StepSpec step = Step(8, 1'000);
+    step.estimate_ms = estimate_ms;
+    JobEntity& job = AcceptJob(shard, id, {step});
+    job.occurrences.at(0).due_at = kNow - job.objective * 4;
+  };
+  accept("short", 1'000);
+  accept("long", 2'000);
+  accept("longer", 3'000);
+  Place(shard);
+  CHECK(vm.runs.count(Key("short", 0, 1)) == 1);
+  CHECK(vm.runs.count(Key("long", 0, 0)) == 1);
+  CHECK(vm.runs.count(Key("longer", 0, 0)) == 1);
+  REQUIRE(vm.runs.size() == 4);
+  ReportAllRunning(shard, vm);
+  EndRun(shard, vm, Key("longer", 0, 0), RunNumber(1), RunEnd::kDone, kNow);
+  Place(shard);
+  CHECK(vm.runs.count(Key("longer", 0, 1)) == 1);
+}
+
+TEST_CASE("a job that is too late holds up no job that is of value") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a", 4'000);
+  JobEntity& old = AcceptJob(shard, "too late", {Step(4, 1'000)});
+  old.occurrences.at(0).due_at = kNow - old.objective * 4;
+  JobEntity& other = AcceptJob(shard, "of value", {Step(4, 1'000)});
+  SUBCASE("on time") {}
+  SUBCASE("late") { other.occurrences.at(0).due_at = kNow - other.objective; }
+  Place(shard);
+  CHECK(vm.runs.count(Key("too late", 0, 0)) == 0);
+  CHECK(vm.runs.size() == 4);
+}
+
 TEST_CASE("a higher priority goes first even with more work left") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a", 1'000);
