Bound odd delays in stored crashes

A delay that is far out of range, as another writer could leave it in a row, would overflow when two delays are compared. It is clamped when it is decoded. Test: suspects_test "odd delays of stored crashes are bounded". Comment of rank.cc corrected.

--- a/source/sched/job.h
+++ b/source/sched/job.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -230,7 +231,9 @@
   for (size_t i = 0; i < runs.size(); ++i) {
     const int proof =
         std::clamp(proofs[i], 0, static_cast<int>(RunProof::kConfirmed));
-    it.runs.push_back({runs[i], static_cast<RunProof>(proof), delays_ms[i]});
+    const int64_t delay_ms = std::clamp<int64_t>(
+        delays_ms[i], -1, std::numeric_limits<int32_t>::max());
+    it.runs.push_back({runs[i], static_cast<RunProof>(proof), delay_ms});
   }
 }
 
--- a/source/sched/rank.cc
+++ b/source/sched/rank.cc
@@ -9,8 +9,8 @@
 // tasks arrive in bursts that exceed the free CPU for seconds. Ordering by
 // deadline alone makes every job late during a burst. Within a priority, jobs
 // that can still meet their objective therefore go first, shortest remaining
-// work first, then late jobs. Jobs too late to be of value go last, but one
-// task of each is always at work.
+// work first, then late jobs. Jobs too late to be of value go last, one task of
+// each before the other tasks of any.
 
 namespace almondtally::sched {
 namespace {
--- a/tests/sched/suspects_test.cc
+++ b/tests/sched/suspects_test.cc
@@ -781,6 +781,17 @@
   CHECK(FindTask(second, task)->crashed_runs.size() == 1);
 }
 
+TEST_CASE("odd delays of stored crashes are bounded") {
+  const auto crashes = nlohmann::json::parse(
+                           "[0,[1,2,3],[2,2,2],"
+                           "[-9223372036854775808,9223372036854775807]]")
+                           .get<TaskCrashes>();
+  REQUIRE(crashes.runs.size() == 3);
+  CHECK(crashes.runs[0].delay_ms == -1);
+  CHECK(crashes.runs[1].delay_ms == 2'147'483'647);
+  CHECK(crashes.runs[2].delay_ms == -1);
+}
+
 TEST_CASE("an end without evidence from an earlier agent can be decoded") {
   const auto end =
       nlohmann::json::parse(R"([3,["j",0,0,0],1,"worker_lost","",""])")
