--- /dev/null
+++ b/source/sched/placement_pass.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sched/candidates.h"
+#include "sched/rank.h"
+
+/// What a planning pass works on: the steps that wait, the candidates, and the
+/// functions that place the tasks of one step.
+namespace almondtally::sched {
+
+/// A request that no VM could satisfy in this pass.
+struct UnmetRequest {
+  ServiceId service;
+  std::string required_label;
+  bool filler = false;
+  Resources each;
+  /// Set if some VM had room but its serving tasks ruled the image out.
+  std::optional<std::string> image;
+};
+
+/// Candidates of one planning pass, and the requests that they cannot satisfy.
+/// With many steps waiting for the same resources, only the first of them
+/// searches all VMs.
+struct PlacementPass {
+  std::vector<CandidateVm> candidates;
+  std::vector<UnmetRequest> unmet;
+  std::map<ServiceId, SuspectLimits> suspect_limits;
+};
+
+/// Result of the search for a VM.
+struct VmChoice {
+  CandidateVm* vm = nullptr;
+  /// Other tasks of the step may find a VM although this one did not.
+  bool others_may_fit = false;
+};
+
+/// A ready step that has idle tasks.
+struct ReadyStep {
+  JobEntity* job = nullptr;
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  JobRank rank;
+  /// How many tasks may be placed.
+  size_t max_tasks = std::numeric_limits<size_t>::max();
+};
+
+/// @return the best VM for a task that is not a suspect.
+VmChoice ChooseVm(const ShardState& shard, MonotonicTime now,
+                  PlacementPass& pass, const QueueTerms& terms,
+                  const StepSpec& step, const TaskKey& key,
+                  const TaskEntity& task);
+
+/// @return the number of a task's next run.
+RunNumber NextRunNumber(const ShardState& shard, RunNumber last);
+/// Records the decision that a task runs on a VM.
+void AssignTask(ShardState& shard, MonotonicTime now, VmEntity& vm,
+                const StepSpec& step, const TaskKey& key, TaskEntity& task,
+                RunNumber number, Decisions& log);
+
+/// Places the idle suspects of a step, each on the VM where a crash does least
+/// harm.
+void PlaceSuspects(ShardState& shard, MonotonicTime now,
+                   const ReadyStep& ready_step, PlacementPass& pass,
+                   Decisions& log);
+
+/// Places all tasks of a gang, or none.
+void PlaceGang(ShardState& shard, MonotonicTime now,
+               const ReadyStep& ready_step,
+               std::vector<CandidateVm>& candidates, Decisions& log);
+
+}  // namespace almondtally::sched
