--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -31,6 +31,7 @@
   /// How long a serving task may exceed its tail latency target while fillers
   /// run on the same VM.
   Duration tail_limit = kDefaultTailLimit;
+  PlanningFeatures features;
   /// @return Unix time in ms. Tests replace it.
   std::function<int64_t()> wall_clock = WallClockMillis;
 };
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "sched/features.h"
 #include "sched/interference.h"
 #include "sched/job.h"
 #include "sched/load.h"
@@ -238,6 +239,7 @@
   std::set<TaskKey> suspects;
   std::map<VmId, VmEntity> vms;
   std::map<QueueId, QueueTerms> queues;
+  PlanningFeatures features;
   /// Earliest time at which another lasting task may be stopped because of a
   /// capacity that has shrunk.
   MonotonicTime next_lasting_stop_at{};
--- a/source/settings/setting.cc
+++ b/source/settings/setting.cc
@@ -22,6 +22,14 @@
   return n;
 }
 
+std::optional<double> ParseFactor(const std::string& text) {
+  double n = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, ec] = std::from_chars(text.data(), end, n);
+  if (ec != std::errc() || rest != end) return std::nullopt;
+  return n;
+}
+
 bool IsName(const std::string& text) {
   constexpr size_t kMaxNameLength = 64;
   if (text.empty() || text.size() > kMaxNameLength) return false;
@@ -51,6 +59,9 @@
       return "a whole number from " + std::to_string(info.min) + " to " +
              std::to_string(info.max) + unit;
     }
+    case SettingKind::kFactor:
+      return "a number from " + std::to_string(info.min) + " to " +
+             std::to_string(info.max);
     case SettingKind::kAddress:
       return "an IPv4 address and a port, such as 10.0.0.1:7000";
     case SettingKind::kAddressList:
@@ -72,6 +83,11 @@
       const auto n = ParseNumber(text);
       return n && *n >= info.min && *n <= info.max;
     }
+    case SettingKind::kFactor: {
+      const auto n = ParseFactor(text);
+      return n && *n >= static_cast<double>(info.min) &&
+             *n <= static_cast<double>(info.max);
+    }
     case SettingKind::kAddress:
       return ParseAddress(text).has_value();
     case SettingKind::kAddressList: {
@@ -213,6 +229,10 @@
   return ParseNumber(Text(flag)).value_or(0);
 }
 
+double Settings::Factor(const std::string& flag) const {
+  return ParseFactor(Text(flag)).value_or(0);
+}
+
 Duration Settings::Millis(const std::string& flag) const {
   return Duration(Number(flag));
 }
--- a/source/settings/setting.h
+++ b/source/settings/setting.h
@@ -16,6 +16,8 @@
   kName,
   kNumber,
   kMillis,
+  /// A number that may have a fraction.
+  kFactor,
   kAddress,
   kAddressList,
   kFlag,
@@ -73,6 +75,7 @@
 
   const std::string& Text(const std::string& flag) const;
   int64_t Number(const std::string& flag) const;
+  double Factor(const std::string& flag) const;
   Duration Millis(const std::string& flag) const;
   bool Flag(const std::string& flag) const;
   Address AddressOf(const std::string& flag) const;
--- a/tests/settings/setting_test.cc
+++ b/tests/settings/setting_test.cc
@@ -46,6 +46,19 @@
   CHECK(why.code == SettingsError::kUnknownFlag);
 }
 
+TEST_CASE("a factor may have a fraction and is within its bounds") {
+  const std::vector<SettingInfo> infos = {
+      {"factor", SettingKind::kFactor, "1", false, 1, 100, "a factor"}};
+  SettingsReason why;
+  const auto settings = Settings::Read(infos, {"--factor", "1.5"}, why);
+  REQUIRE(settings);
+  CHECK(settings->Factor("factor") == doctest::Approx(1.5));
+  for (const char* bad : {"", "x", "1.5x", "0.9", "101", "nan", "inf"}) {
+    CHECK_FALSE_MESSAGE(Settings::Read(infos, {"--factor", bad}, why), bad);
+    CHECK(why.code == SettingsError::kInvalidValue);
+  }
+}
+
 TEST_CASE("addresses are IPv4 addresses with a port") {
   CHECK(ParseAddress("10.0.0.1:7000"));
   for (const char* bad :
