Evacuate data centres: nothing more starts there, what runs there runs on

The planner closes the VMs of these data centres in AcceptsTasks, takes runs back whose start was not sent, and starts nothing by a reading older than evacuate-ms less 1 s, or before the first one, where the settings list "places". The agent is told with each request and refuses starts by itself, repeated calls included. Paged reads of the store now return the version of the first page, so that a feed which continues from there misses no change of a later page. SimulatedFleet names a data centre for each VM; its settings now name all fields, since the wall clock had moved behind the features. The soak evacuates data centres and judges EVAC.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -101,6 +101,7 @@
     return exchange.Answer(kBadRequest, {}, why.text);
   }
   const PlannerEpoch previous_epoch = table_.epoch;
+  const bool was_evacuated = table_.evacuation.evacuated;
   const bool current = ApplySyncRequest(table_, loop_.now(), *request);
   if (table_.epoch != previous_epoch) {
     Log(Event::kPlannerHeard,
@@ -108,6 +109,13 @@
          {"epoch", static_cast<int64_t>(request->epoch.value)},
          {"was", static_cast<int64_t>(previous_epoch.value)}});
   }
+  if (table_.evacuation.evacuated != was_evacuated) {
+    Log(Event::kVmEvacuated,
+        {{"data_centre", settings_.data_centre.value},
+         {"evacuated", was_evacuated ? "no" : "yes"},
+         {"row_version", static_cast<int64_t>(table_.evacuation.as_of.value)},
+         {"epoch", static_cast<int64_t>(request->epoch.value)}});
+  }
   SendWorkerCalls();
   if (!current || request->wait_ms == 0 ||
       HasUnreportedChanges(table_, *request)) {
@@ -322,6 +330,8 @@
   set("planner_age_ms", (now - table_.last_grant_at).count());
   set("worker_responsive", table_.worker.responsive ? 1 : 0);
   set("epoch", table_.epoch.value);
+  set("evacuated", table_.evacuation.evacuated ? 1 : 0);
+  set("evacuation_refusals", table_.evacuation_refusals);
 }
 
 }  // namespace almondtally::sched
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -29,6 +29,7 @@
 constexpr Duration kCallRetryInterval{500};
 /// Minimum time between two reports of changed measures of a run.
 constexpr Duration kMeasureReportInterval{250};
+constexpr const char* kEvacuated = "data centre evacuated";
 /// A fencing number holds the planner's epoch in its high bits; the low bits
 /// count within that epoch.
 constexpr int kFencingBitsPerEpoch = 24;
@@ -231,6 +232,7 @@
   if (table.worker.id.empty()) return "no worker";
   if (target_worker != table.worker.id) return "another worker";
   if (table.worker.draining) return "draining";
+  if (table.evacuation.evacuated) return kEvacuated;
   if (!table.clock_known) return "worker not heard yet";
   if (lease_until - now < kMinLeaseToStart) return "lease too short";
   return CheckRoom(table, TotalAdmissionSize(table), order);
@@ -254,6 +256,7 @@
           ? "an older run is still here"
           : CheckAdmission(table, now, order, lease_until, target_worker);
   if (!refusal.empty()) {
+    if (refusal == kEvacuated) ++table.evacuation_refusals;
     AddEnd(table, order.task, order.run, RunEnd::kNotStarted, order.checkpoint,
            std::move(refusal));
     return;
@@ -547,6 +550,8 @@
   table.planner = request.planner;
   table.planner_address = request.planner_address;
   if (request.grant_ms > 0) table.last_grant_at = now;
+  AdoptNotice(table.evacuation,
+              {request.evacuated, RowVersion(request.evacuated_as_of)});
   if (request.life != table.life) return true;
   table.fencing = std::max(table.fencing, request.fencing_base);
   DropRecordedEnds(table, now, request.ends_recorded);
@@ -605,7 +610,10 @@
       const std::string no_room = CheckRoom(table, reserved, run.order);
       const MonotonicTime lease_until =
           std::min(table.lease_until, run.order_expires_at);
-      if (lease_until - now < kMinLeaseToStart) {
+      if (table.evacuation.evacuated) {
+        ++table.evacuation_refusals;
+        EndRunLocally(table, it, RunEnd::kNotStarted, kEvacuated);
+      } else if (lease_until - now < kMinLeaseToStart) {
         EndRunLocally(table, it, RunEnd::kNotStarted, "lease too short");
       } else if (!no_room.empty()) {
         EndRunLocally(table, it, RunEnd::kNotStarted, no_room);
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "sched/evacuation.h"
 #include "sched/messages.h"
 #include "sched/worker.h"
 
@@ -189,6 +190,9 @@
   std::deque<TaskKey> ended_runs_recorded;
   /// For the log; the caller removes them.
   std::vector<SettledStart> settled_starts;
+  EvacuationNotice evacuation;
+  /// Starts refused because the data centre is evacuated.
+  uint64_t evacuation_refusals = 0;
   uint64_t last_end = 0;
   uint64_t worker_end_seen = 0;
   uint64_t worker_end_recorded = 0;
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -285,6 +285,17 @@
        "fillers on its VM"},
       {Event::kTailWithinTarget, "tail.within_target", kPlanning, kInfo,
        "a serving task meets its target again; age is how long it missed it"},
+      {Event::kEvacuationsChanged, "evacuations.changed", kPlanning, kInfo,
+       "other data centres are evacuated than before; vms counts the VMs there "
+       "that this planner knows"},
+      {Event::kEvacuationsOutdated, "evacuations.outdated", kPlanning, kWarning,
+       "the planner starts nothing, since it could not read the evacuation "
+       "requests for too long, or starts tasks again"},
+      {Event::kVmEvacuated, "vm.evacuated", kPlanning, kInfo,
+       "the agent was told that the data centre of its VM is evacuated and "
+       "starts nothing more, or that it no longer is"},
+      {Event::kEvacuationRowIgnored, "evacuations.row_ignored", kPlanning,
+       kWarning, "an evacuation request names no data centre and is ignored"},
       {Event::kVmListed, "vm.listed", kPlanning, kInfo,
        "an agent's row was read"},
       {Event::kVmSynced, "vm.synced", kPlanning, kInfo,
--- a/source/external/store.cc
+++ b/source/external/store.cc
@@ -19,7 +19,9 @@
       read->table, read->partition, from,
       [read](std::optional<StoreRows> page, const PlatformReason& why) {
         if (!page) return read->fn(std::nullopt, why);
-        read->result.version = page->version;
+        // Changes that later pages miss follow the version of the first one.
+        if (read->result.version.value == 0)
+          read->result.version = page->version;
         const bool more = page->more && !page->rows.empty();
         const std::string last_key =
             page->rows.empty() ? std::string() : page->rows.back().at.key;
--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -126,6 +126,8 @@
   request.life = vm.reporting_incarnation;
   request.worker = vm.worker.id;
   request.fencing_base = FencingBase(board_, vm);
+  request.evacuated = IsEvacuated(board_.evacuations, vm.data_centre);
+  request.evacuated_as_of = board_.evacuations.reading.version.value;
   if (vm.reporting_incarnation != vm.life) return request;
   request.seen_version = vm.synced ? vm.seen_version : 0;
   request.seen_end = vm.seen_end;
--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -217,6 +217,7 @@
   board_.queues = queues_;
   board_.tail_limit = settings_.tail_limit;
   board_.features = settings_.features;
+  board_.evacuations = evacuations_;
   board_.unix_offset_ms =
       settings_.wall_clock() - now.time_since_epoch().count();
   JobReason why;
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -68,7 +68,9 @@
       store_(store),
       metrics_(metrics),
       settings_(std::move(settings)),
-      journal_(store, kShard) {}
+      journal_(store, kShard) {
+  evacuations_.max_age = settings_.max_evacuation_age;
+}
 
 void Planner::Start() {
   WatchHead();
@@ -204,6 +206,26 @@
   SchedulePlanning();
 }
 
+void Planner::SetEvacuations(const EvacuationReading& reading) {
+  const bool changed = AdoptReading(evacuations_.reading, reading);
+  board_.evacuations = evacuations_;
+  if (!changed) return;
+  std::string names;
+  for (const DataCentreId& id : evacuations_.reading.data_centres) {
+    names += (names.empty() ? "" : " ") + id.value;
+  }
+  const auto vms =
+      std::count_if(board_.vms.begin(), board_.vms.end(), [&](const auto& it) {
+        return IsEvacuated(evacuations_, it.second.data_centre);
+      });
+  Log(Event::kEvacuationsChanged,
+      {{"data_centres", names},
+       {"row_version",
+        static_cast<int64_t>(evacuations_.reading.version.value)},
+       {"vms", static_cast<int64_t>(vms)}});
+  if (planning_) SchedulePlanning();
+}
+
 // Planning.
 
 void Planner::SchedulePlanning() {
@@ -221,6 +243,7 @@
   if (!planning_) return;
   const MonotonicTime now = loop_.now();
   Decisions log;
+  ApplyEvacuations(board_, now, log);
   ExpireVmLeases(board_, now, log);
   StartDueOccurrences(board_, now);
   StopRunsToMove(board_, now, log);
@@ -233,8 +256,19 @@
   metrics_.ObservePlanningPass(last_pass_duration_);
 }
 
+void Planner::LogOutdatedEvacuations() {
+  const MonotonicTime now = loop_.now();
+  const bool outdated = IsOutdated(evacuations_, now);
+  if (outdated == evacuations_outdated_) return;
+  evacuations_outdated_ = outdated;
+  Log(Event::kEvacuationsOutdated,
+      {{"outdated", outdated ? "yes" : "no"},
+       {"age_ms", (now - evacuations_.reading.read_at).count()}});
+}
+
 void Planner::Tick() {
   if (!planning_) return;
+  LogOutdatedEvacuations();
   const MonotonicTime now = loop_.now();
   Decisions log;
   LogWaitingTasks(board_, now, log);
@@ -338,6 +372,8 @@
   set("proof_age_ms",
       planning_ ? (loop_.now() - board_.ownership_proven_at).count() : -1);
   set("store_failed", store_failed_ ? 1 : 0);
+  set("evacuated_data_centres", evacuations_.reading.data_centres.size());
+  set("evacuations_outdated", IsOutdated(evacuations_, loop_.now()) ? 1 : 0);
 }
 
 }  // namespace almondtally::sched
--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -34,6 +34,9 @@
   PlanningFeatures features;
   /// @return Unix time in ms. Tests replace it.
   std::function<int64_t()> wall_clock = WallClockMillis;
+  /// Longest age of a reading of the evacuation requests by which tasks start;
+  /// 0 if there are no such requests.
+  Duration max_evacuation_age{};
 };
 
 /// The process that plans a shard.
@@ -75,6 +78,8 @@
   void Handle(const JobCall& call, AnswerFn fn);
   /// Applies the queue terms of a new configuration.
   void SetQueues(const std::map<QueueId, QueueTerms>& queues);
+  /// Applies a reading of the requests to evacuate data centres.
+  void SetEvacuations(const EvacuationReading& reading);
   void UpdateMetrics();
 
  private:
@@ -140,6 +145,7 @@
   // Planning and commits.
   void SchedulePlanning();
   void RunPlanningPass();
+  void LogOutdatedEvacuations();
   void Tick();
   void CommitPending();
   void SendCommit();
@@ -177,6 +183,8 @@
   bool retiring_ = false;
   ShardState board_;
   std::map<QueueId, QueueTerms> queues_;
+  Evacuations evacuations_;
+  bool evacuations_outdated_ = false;
 
   bool planning_scheduled_ = false;
   Duration last_pass_duration_{};
--- a/source/sched/candidates.cc
+++ b/source/sched/candidates.cc
@@ -56,7 +56,7 @@
                   MonotonicTime now) {
   return vm.synced && !vm.partial && !vm.row_unproven &&
          !IsLeaseUnproven(shard, vm, now) && vm.worker.responsive &&
-         !vm.worker.draining;
+         !vm.worker.draining && !vm.evacuated && !vm.starts_held;
 }
 
 std::vector<CandidateVm> ListCandidateVms(ShardState& shard, MonotonicTime now,
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -106,6 +106,10 @@
   std::vector<RunSize> sizes;
   /// Run ends up to this number are in the store; the agent may discard them.
   uint64_t ends_recorded = 0;
+  /// The data centre of the VM is evacuated: the agent starts nothing more. The
+  /// version of the store that shows it; 0 if the planner does not know.
+  bool evacuated = false;
+  uint64_t evacuated_as_of = 0;
   /// Latest version and run end that the planner has processed; the report
   /// contains only newer ones.
   uint64_t seen_version = 0;
@@ -116,7 +120,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     SyncRequest, message_version, epoch, planner, planner_address, life, worker,
     fencing_base, stamp, grant_ms, batch, starts, stops, paces, sizes,
-    ends_recorded, seen_version, seen_end, wait_ms)
+    ends_recorded, evacuated, evacuated_as_of, seen_version, seen_end, wait_ms)
 
 enum class RunPhase : uint8_t { kStarting, kRunning, kStopping };
 NLOHMANN_JSON_SERIALIZE_ENUM(RunPhase, {{RunPhase::kStarting, "starting"},
--- a/source/sched/orders.cc
+++ b/source/sched/orders.cc
@@ -21,7 +21,8 @@
 /// A start is not sent while ends of the VM may be missing: an earlier process
 /// of the agent may have carried it out.
 bool NeedsStart(const VmEntity& vm, const VmRun& run) {
-  return !vm.partial && !run.seen && run.start_batch == 0 && !run.stop_wanted;
+  return !vm.partial && !vm.starts_held && !run.seen && run.start_batch == 0 &&
+         !run.stop_wanted;
 }
 
 bool NeedsStop(const VmRun& run) {
--- a/source/sched/pace.cc
+++ b/source/sched/pace.cc
@@ -97,7 +97,7 @@
   return std::any_of(shard.vms.begin(), shard.vms.end(), [&](const auto& it) {
     const VmEntity& vm = it.second;
     constexpr double kNearlyFullSpeed = 0.9;
-    if (vm.id == here.id || vm.worker.draining) return false;
+    if (vm.id == here.id || vm.worker.draining || vm.evacuated) return false;
     if (!HasReportedRecently(vm, now)) return false;
     if (vm.worker.service != here.worker.service) return false;
     int64_t free_cpu = vm.worker.capacity.cpu.value;
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "sched/evacuation.h"
 #include "sched/features.h"
 #include "sched/interference.h"
 #include "sched/job.h"
@@ -206,6 +207,11 @@
   /// placed here: nothing is lost if they crash it again.
   MonotonicTime reserved_for_suspects_until{};
 
+  /// The data centre of the VM is evacuated; see ApplyEvacuations.
+  bool evacuated = false;
+  /// No start is sent, since the planner does not know which data centres are
+  /// evacuated.
+  bool starts_held = false;
   /// When the VM became known to this planner.
   MonotonicTime listed_at{};
   /// Earliest time of the next update of the fillers' speed limits.
@@ -240,6 +246,7 @@
   std::map<VmId, VmEntity> vms;
   std::map<QueueId, QueueTerms> queues;
   PlanningFeatures features;
+  Evacuations evacuations;
   /// Earliest time at which another lasting task may be stopped because of a
   /// capacity that has shrunk.
   MonotonicTime next_lasting_stop_at{};
@@ -337,6 +344,10 @@
 
 // Decisions.
 
+/// Closes the VMs of evacuated data centres to starts, and takes back the runs
+/// there whose start was not sent. Holds all starts while it is not known which
+/// data centres are evacuated. What runs there runs on.
+void ApplyEvacuations(ShardState& shard, MonotonicTime now, Decisions& log);
 /// Assigns idle tasks of ready steps to VMs.
 void PlaceTasks(ShardState& shard, MonotonicTime now, Decisions& log);
 /// Updates the speed limits of the fillers that share a VM with serving tasks.
--- a/source/sched/shrink.cc
+++ b/source/sched/shrink.cc
@@ -88,7 +88,7 @@
     const WorkerReport& worker = vm.worker;
     const bool usable = vm.id != here.id && HasReportedRecently(vm, now) &&
                         worker.responsive && !worker.draining &&
-                        worker.service == here.worker.service;
+                        !vm.evacuated && worker.service == here.worker.service;
     if (!usable) return false;
     const auto& labels = worker.labels;
     if (!step.required_label.empty() &&
--- a/source/sched/waiting.cc
+++ b/source/sched/waiting.cc
@@ -28,6 +28,7 @@
   int silent = 0;
   int unresponsive = 0;
   int draining = 0;
+  int evacuated = 0;
   int unproven = 0;
   int set_aside = 0;
   int without_room = 0;
@@ -71,6 +72,8 @@
       ++out.unresponsive;
     } else if (vm.worker.draining) {
       ++out.draining;
+    } else if (vm.evacuated) {
+      ++out.evacuated;
     } else if (!Fits(step.each, vm.worker.capacity - ReservedCapacity(vm))) {
       ++out.without_room;
     } else if (IsClosedToTask(vm, step, key)) {
@@ -89,6 +92,7 @@
          " unproven=" + std::to_string(n.unproven) +
          " unresponsive=" + std::to_string(n.unresponsive) +
          " draining=" + std::to_string(n.draining) +
+         (n.evacuated > 0 ? " evacuated=" + std::to_string(n.evacuated) : "") +
          " without_room=" + std::to_string(n.without_room) +
          " closed_to_task=" + std::to_string(n.closed_to_task) +
          " set_aside=" + std::to_string(n.set_aside) +
@@ -135,6 +139,9 @@
     return "runs of the previous planner may still execute on VMs that have "
            "not reported";
   }
+  if (IsOutdated(shard.evacuations, now)) {
+    return "not known which data centres are evacuated";
+  }
   if (task.not_before > now) {
     return "restart delayed by " + Milliseconds(task.not_before - now);
   }
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -1395,5 +1395,102 @@
   CHECK(calls[0].call.lease_until_ms == 5'000 + kLeaseGrantDuration.count());
 }
 
+/// Tells the agent about the data centre of its VM.
+void Notify(RunTable& table, bool evacuated, uint64_t as_of,
+            MonotonicTime now = kNow) {
+  SyncRequest request = Request(table);
+  request.evacuated = evacuated;
+  request.evacuated_as_of = as_of;
+  ApplySyncRequest(table, now, request);
+}
+
+// Operators evacuate a data centre while starts are on their way to its VMs.
+TEST_CASE("an agent in an evacuated data centre starts nothing more") {
+  RunTable table = Ready();
+  Order(table, {Start(kOther, 1)});
+  FinishStartCall(table, kNow, BeginStartCalls(table, kNow)[0], {});
+  SUBCASE("an order that arrives later") {
+    Notify(table, true, 5);
+    Order(table, {Start(kTask, 1)});
+  }
+  SUBCASE("an order that comes with the notice") {
+    SyncRequest request = Request(table, table.batch + 1);
+    request.evacuated = true;
+    request.evacuated_as_of = 5;
+    request.starts = {Start(kTask, 1)};
+    ApplySyncRequest(table, kNow, request);
+  }
+  SUBCASE("a start that waits to be sent") {
+    Order(table, {Start(kTask, 1)});
+    Notify(table, true, 5);
+  }
+  SUBCASE("a start that waits to be sent again") {
+    Order(table, {Start(kTask, 1)});
+    const auto calls = BeginStartCalls(table, kNow);
+    FinishStartCall(table, kNow, calls[0], {CallOutcome::kFenced, "fence"});
+    Notify(table, true, 5);
+  }
+  CHECK(BeginStartCalls(table, kNow).empty());
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].task == kTask);
+  CHECK(Ends(table)[0].end == RunEnd::kNotStarted);
+  CHECK(table.evacuation_refusals == 1);
+  // What runs there runs on.
+  CHECK(table.runs.at(kOther).phase == RunPhase::kRunning);
+  CHECK(BeginStopCalls(table, kNow).empty());
+}
+
+TEST_CASE("only a newer notice takes an evacuation back") {
+  RunTable table = Ready();
+  Notify(table, true, 5);
+  SUBCASE("a planner whose reading lags behind") {
+    Notify(table, false, 4);
+    Order(table, {Start(kTask, 1)});
+    CHECK(BeginStartCalls(table, kNow).empty());
+  }
+  SUBCASE("a planner that was replaced") {
+    SyncRequest newer = Request(table);
+    newer.epoch = PlannerEpoch(2);
+    newer.evacuated = true;
+    newer.evacuated_as_of = 5;
+    ApplySyncRequest(table, kNow, newer);
+    Notify(table, false, 9);
+    CHECK(table.evacuation.evacuated);
+  }
+  SUBCASE("a planner that knows of no requests") {
+    Notify(table, false, 0);
+    CHECK(table.evacuation.evacuated);
+  }
+  SUBCASE("the request was removed") {
+    Notify(table, false, 6);
+    Order(table, {Start(kTask, 1)});
+    CHECK(BeginStartCalls(table, kNow).size() == 1);
+  }
+}
+
+TEST_CASE("a start whose outcome is not known is settled by the worker") {
+  RunTable table = Ready();
+  Order(table, {Start(kTask, 1)});
+  const auto calls = BeginStartCalls(table, kNow);
+  Notify(table, true, 5);
+  FinishStartCall(table, kNow, calls[0], {CallOutcome::kUnknown, "timeout"});
+  CHECK(BeginStartCalls(table, kNow).empty());
+  CHECK(Ends(table).empty());
+  WorkerListing listing = Listing();
+  listing.running = {{kTask, RunNumber(1), "", 100, -1}};
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), listing);
+  CHECK(table.runs.at(kTask).phase == RunPhase::kRunning);
+}
+
+// Planners of earlier versions send no notice.
+TEST_CASE("a request without a notice is read, and says nothing") {
+  nlohmann::json fields = SyncRequest{};
+  fields.erase("evacuated");
+  fields.erase("evacuated_as_of");
+  const auto request = fields.get<SyncRequest>();
+  CHECK_FALSE(request.evacuated);
+  CHECK(request.evacuated_as_of == 0);
+}
+
 }  // namespace
 }  // namespace almondtally::sched
--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -59,7 +59,8 @@
       planner(loop, links, store, fleet.metrics_,
               {EntryId("entry" + std::to_string(number)), EntryAddress(number),
                Duration(0), MilliCpu(0), Duration(120'000), kDefaultTailLimit,
-               [&fleet] { return fleet.unix_ms(); }}),
+               PlanningFeatures{}, [&fleet] { return fleet.unix_ms(); },
+               fleet.max_evacuation_age_}),
       gateway(loop, links, planner) {
   fleet.StartClock(loop);
   links.SetTransport(
@@ -71,14 +72,16 @@
   planner.Start();
 }
 
-SimulatedFleet::SimulatedFleet(size_t entries, size_t vms)
-    : store_(memory_.Make()) {
+SimulatedFleet::SimulatedFleet(size_t entries, size_t vms,
+                               Duration max_evacuation_age)
+    : max_evacuation_age_(max_evacuation_age), store_(memory_.Make()) {
   vms_.resize(vms);
   for (size_t i = 0; i < vms; ++i) {
-    memory_.Apply({{},
-                   {{{table::kAgents, "shard-0", VmIdOf(i).value},
-                     EncodeRow(AgentRow{ToString(AgentAddress(i)), {}})}},
-                   {}});
+    memory_.Apply(
+        {{},
+         {{{table::kAgents, "shard-0", VmIdOf(i).value},
+           EncodeRow(AgentRow{ToString(AgentAddress(i)), DataCentreOf(i)})}},
+         {}});
     vms_[i].worker.id = WorkerId("worker" + std::to_string(i));
     vms_[i].worker.born_at = now_;
     StartAgent(i);
@@ -101,6 +104,10 @@
   return VmId("vm" + std::to_string(vm));
 }
 
+DataCentreId SimulatedFleet::DataCentreOf(size_t vm) {
+  return DataCentreId("dc" + std::to_string(vm));
+}
+
 void SimulatedFleet::Advance(Duration by) {
   for (const MonotonicTime end = now_ + by; now_ < end;) {
     now_ += kStep;
@@ -370,8 +377,9 @@
   Agent& agent = *vms_[vm].agent;
   agent.store_call_in_flight = true;
   StoreTransaction rows;
-  rows.puts.push_back({{table::kAgents, "shard-0", VmIdOf(vm).value},
-                       EncodeRow(AgentRow{ToString(AgentAddress(vm)), {}})});
+  rows.puts.push_back(
+      {{table::kAgents, "shard-0", VmIdOf(vm).value},
+       EncodeRow(AgentRow{ToString(AgentAddress(vm)), DataCentreOf(vm)})});
   agent.store.commit(rows, [&agent](const StoreCommitResult& result) {
     agent.store_call_in_flight = false;
     agent.row_written = result.error == PlatformError::kNone;
--- a/tests/planner/simulated_fleet.h
+++ b/tests/planner/simulated_fleet.h
@@ -38,7 +38,8 @@
 /// cut, and so can each process's link to the store.
 class SimulatedFleet {
  public:
-  SimulatedFleet(size_t entries, size_t vms);
+  /// @param max_evacuation_age see PlannerSettings.
+  SimulatedFleet(size_t entries, size_t vms, Duration max_evacuation_age = {});
   SimulatedFleet(const SimulatedFleet&) = delete;
   SimulatedFleet& operator=(const SimulatedFleet&) = delete;
 
@@ -49,6 +50,8 @@
   static Address EntryAddress(size_t entry);
   static Address AgentAddress(size_t vm);
   static VmId VmIdOf(size_t vm);
+  /// Each VM is in a data centre of its own.
+  static DataCentreId DataCentreOf(size_t vm);
 
   /// Messages in this direction, including answers, are lost while it is cut.
   void Cut(const Address& from, const Address& to) { cut_.insert({from, to}); }
@@ -194,6 +197,7 @@
   void StartClock(EventLoop& loop) const;
 
   MonotonicTime now_;
+  Duration max_evacuation_age_;
   MemoryStore memory_;
   Store store_;
   Metrics metrics_;
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,6 +16,8 @@
 SPLIT_SHARE = 0.7
 # Of the splits in which the planner has no other fault.
 SPARED_SHARE = 0.7
+EVACUATED_S = (6, 12)
+EVACUATE_ALL_SHARE = 0.2
 
 
 @contextlib.contextmanager
@@ -342,6 +344,30 @@
     await divide(fleet, rng, rng.sample(names, rng.randint(1, len(names) - 1)))
 
 
+async def evacuations(fleet, rng, seconds):
+    """Zones are evacuated and taken back, at times all of them."""
+    until = now_ms() + seconds * 1000
+    while True:
+        await asyncio.sleep(rng.uniform(2, 6))
+        zones = list(fleet.site.zones)
+        if rng.random() < EVACUATE_ALL_SHARE:
+            rng.shuffle(zones)
+        else:
+            zones = [rng.choice(zones)]
+        length_s = rng.uniform(*EVACUATED_S)
+        if now_ms() + length_s * 1000 > until:
+            return
+        for zone in zones:
+            # The value says nothing.
+            await fleet.store.put("op", f"evacuate/{zone}",
+                                  rng.choice([{}, [], "?"]))
+            fleet.history.evacuate(zone)
+        await asyncio.sleep(length_s)
+        for zone in zones:
+            fleet.history.take_back(zone)
+            await fleet.store.remove("op", f"evacuate/{zone}")
+
+
 FAULT_WEIGHTS = {
     one_program: 3, planner: 3, series: 3, crash: 3, crash_later: 2,
     replace: 1, power: 2, leave: 2, slow: 1, unanswered: 4, cut: 2, grey: 1,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -85,7 +85,8 @@
 
     def usable(self):
         return [it for it in self.executors
-                if it.up and not it.draining and not it.cut]
+                if it.up and not it.draining and not it.cut and
+                not self.history.evacuated_lately(it.zone)]
 
     def in_use(self):
         """@return the share of the usable processors that runs reserve."""
@@ -182,7 +183,7 @@
             "--peer", f"{host}:{peer}", "--metrics", f"{host}:{metrics}",
             "--store", f"{host}:{store}", "--cpu-share", "0.25",
             "--config-ms", "2000", "--keep-ended-s", "120",
-            "--tail-limit-ms", "4000"],
+            "--tail-limit-ms", "4000", "--contracts", "places"],
             self.folder / f"{name}.log", self.record, front, ready))
 
     async def add_machine(self, number):
@@ -195,6 +196,7 @@
             ["a", f"r1-{number // 3}"], self.rng)
         if self.rng.random() < 0.5:
             executor.server.idle_s = self.rng.uniform(0.2, 2)
+        executor.zone = self.site.zones[number % len(self.site.zones)]
         executor.control_port, peer, metrics = (
             harness.free_port() for _ in range(3))
         store = await self.store.listen(name)
@@ -203,7 +205,7 @@
         self.executors.append(executor)
         self.agents[name] = SoakProgram(name, [
             str(self.bin / "almondtally-target"), "agent", "--vm", name,
-            "--data-centre", self.site.zones[number % len(self.site.zones)],
+            "--data-centre", executor.zone,
             "--listen", f"{host}:{executor.control_port}",
             "--peer", f"{host}:{peer}", "--metrics", f"{host}:{metrics}",
             "--worker", f"{host}:{executor.port}", "--service", SERVICE,
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -17,6 +17,7 @@
 IDLE_MS = 3000
 LASTING_GRACE_MS = 6000
 CALM_MS = 7000
+EVACUATE_MS = 5000
 SHOWN_SLACK_MS = 1000
 REJECTED = (404, 429, 503)
 # A task under which so many executors have crashed may be given up.
@@ -104,6 +105,10 @@
         self.crashes = {}
         self.idle_since = {}
         self.told = set()
+        # When the evacuation of a zone was acknowledged, and when one was
+        # taken back.
+        self.evacuated = {}
+        self.taken_back = {}
         # True while an executor carries out an order after a delay.
         self.late = False
 
@@ -112,6 +117,25 @@
             self.told.add((rule, key))
             self.breaks(rule, text)
 
+    def evacuate(self, zone):
+        self.evacuated[zone] = self.clock()
+
+    def take_back(self, zone):
+        del self.evacuated[zone]
+        self.taken_back[zone] = self.clock()
+
+    def evacuated_lately(self, zone):
+        """@return true if tasks of the zone may still have to wait."""
+        since = self.clock() - self.taken_back.get(zone, -math.inf)
+        return zone in self.evacuated or since < IDLE_MS + LASTING_GRACE_MS
+
+    def check_evacuated(self, executor, run):
+        since = self.clock() - self.evacuated.get(executor.zone, math.inf)
+        if since > EVACUATE_MS:
+            self.breaks("EVAC", f"{run.task}: run {run.run} starts on "
+                        f"{executor.name} {since:.0f} ms after its zone was "
+                        "evacuated")
+
     def in_touch(self, machine):
         return self.calm.quiet_ms(
             self.clock(), [machine, machine + ".planned", "store"]
@@ -135,6 +159,8 @@
         self.check_order(job, run)
         self.check_spread(job, executor, run)
         timed = not self.late and self.in_touch(executor.name)
+        if timed:
+            self.check_evacuated(executor, run)
         if timed and job.cancelled_ms is not None and (
                 now - job.cancelled_ms > CANCEL_MS):
             self.breaks("UNASKED", f"{run.task}: run {run.run} starts "
--- a/tests/soak/rules_test.py
+++ b/tests/soak/rules_test.py
@@ -18,6 +18,7 @@
 class FakeExecutor:
     def __init__(self, name):
         self.name = name
+        self.zone = f"zone-{name}"
         self.life = 1
         self.capacity = {"cpu": 1000, "memMb": 1000}
         self.runs = {}
@@ -328,6 +329,28 @@
         self.judge.unanswered("edge-0", 300, True, self.now)
         self.assertEqual(self.rules(), ["LOST"])
 
+    def test_start_in_an_evacuated_zone_breaks_evac(self):
+        self.add(steps=[{"count": 4}])
+        self.judge.evacuate(self.one.zone)
+        self.now += 4900
+        self.end(self.one, self.start(self.one, 1, f"{JOB}.0.0.0"))
+        self.now += 200
+        self.start(self.two, 1, f"{JOB}.0.0.1")
+        self.assertEqual(self.rules(), [])
+        self.end(self.one, self.start(self.one, 1, f"{JOB}.0.0.2"))
+        self.assertEqual(self.rules(), ["EVAC"])
+        self.judge.take_back(self.one.zone)
+        self.start(self.one, 1, f"{JOB}.0.0.3")
+        self.assertEqual(self.rules(), ["EVAC"])
+
+    def test_start_by_a_machine_out_of_touch_keeps_evac(self):
+        self.add()
+        self.judge.evacuate(self.one.zone)
+        self.now += 6000
+        self.judge.calm.mark("store", self.now - 2900)
+        self.start(self.one, 1)
+        self.assertEqual(self.rules(), [])
+
     def test_calm_counts_from_the_end_of_the_last_impairment(self):
         calm = Calm()
         calm.begin("store")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -56,9 +56,14 @@
         await fleet.start()
         played = asyncio.ensure_future(faults.play(
             fleet, random.Random(rng.random()), planned))
+        # Drawn apart, so that a seed's other faults stay the same.
+        evacuated = asyncio.ensure_future(faults.evacuations(
+            fleet, random.Random(f"evacuations {options.seed}"),
+            0 if options.calm else options.seconds))
         await load.traffic(fleet, random.Random(rng.random()), fleet.site,
                            options.seconds, options.rate)
         await played
+        await evacuated
         fleet.record.add("traffic.end")
         await finish(fleet, rng)
     except NotReady as error:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -162,6 +162,15 @@
             await asyncio.sleep(SILENCE_S)
         return None
 
+    async def remove(self, table, key):
+        """The operator removes a row."""
+        async with self.changed:
+            self.version += 1
+            self._write((table, "", key), None)
+            self.changed.notify_all()
+        self.record.add("store.operator", removed=f"{table}/{key}",
+                        ver=self.version)
+
     def forget(self):
         """Drops the history of changes, so that feeds get 410."""
         self.forgotten = self.version
@@ -218,6 +227,7 @@
     def __init__(self, cluster, name, capacity, labels, rng):
         super().__init__(cluster, name, capacity, labels)
         self.rng = rng
+        self.zone = ""
         self.server = Server(self.handle)
         self.clock_rate = rng.choice([1, 1, 0.99, 0.98])
         self.cut = False
