Reject jobs that surely end too late to be of value

Cause: a planner accepted every valid job, also while more work waited than the room can do before the job is of no value to its caller.

The entry turns it into 'unknown' if an earlier attempt is unanswered.

--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -285,6 +285,16 @@
        "fillers on its VM"},
       {Event::kTailWithinTarget, "tail.within_target", kPlanning, kInfo,
        "a serving task meets its target again; age is how long it missed it"},
+      {Event::kJobRejectedLate, "job.rejected_late", kPlanning, kInfo,
+       "a job was rejected because it surely ends too late to be of value; "
+       "needed is the least time until it ends, left the time in which it is "
+       "of value"},
+      {Event::kRejectingBegan, "admission.rejecting", kPlanning, kWarning,
+       "jobs of a queue surely end too late; the fields are those of the first "
+       "one"},
+      {Event::kRejectingEnded, "admission.accepting", kPlanning, kInfo,
+       "jobs of a queue end in time again; the fields are those of the first "
+       "one"},
       {Event::kVmListed, "vm.listed", kPlanning, kInfo,
        "an agent's row was read"},
       {Event::kVmSynced, "vm.synced", kPlanning, kInfo,
--- a/source/planner/commits.cc
+++ b/source/planner/commits.cc
@@ -65,8 +65,11 @@
   const MonotonicTime now = loop_.now();
   const Duration since_last_commit = now - last_commit_at_;
   if (store_failed_ && since_last_commit < kCommitRetryDelay) return;
+  const bool rejects = std::any_of(
+      absence_waiters_.begin(), absence_waiters_.end(),
+      [](const auto& it) { return it.call.verb == JobVerb::kSubmit; });
   const bool urgent =
-      !pending_submissions_.empty() || !change_waiters_.empty() ||
+      !pending_submissions_.empty() || !change_waiters_.empty() || rejects ||
       AwaitsProof(board_, now) ||
       std::any_of(board_.dirty.begin(), board_.dirty.end(),
                   [&](const auto& id) {
--- a/source/planner/gateway.cc
+++ b/source/planner/gateway.cc
@@ -40,10 +40,11 @@
   void FinishAttempt(const JobAnswer& answer, bool earlier_may_act) {
     const bool has_effect =
         call.verb == JobVerb::kSubmit || call.verb == JobVerb::kCancel;
-    if (!earlier_may_act || !has_effect ||
-        answer.verdict != JobVerdict::kUnavailable) {
+    const bool refused_for_now =
+        answer.verdict == JobVerdict::kUnavailable ||
+        (answer.verdict == JobVerdict::kRejected && answer.retry_after_ms > 0);
+    if (!earlier_may_act || !has_effect || !refused_for_now)
       return Finish(answer);
-    }
     JobAnswer unknown = answer;
     unknown.verdict = JobVerdict::kUnknown;
     unknown.reason = "an earlier attempt is unanswered; " + answer.reason;
--- a/source/planner/gateway.h
+++ b/source/planner/gateway.h
@@ -16,8 +16,9 @@
       : loop_(loop), links_(links), planner_(planner) {}
 
   /// @param timeout after which the caller no longer waits.
-  /// @param fn called once. The verdict is kUnavailable only if no planner can
-  /// have acted on any attempt, or can still do so; otherwise kUnknown.
+  /// @param fn called once. The verdict is kUnavailable, or kRejected with a
+  /// time to retry after, only if no planner can have acted on any attempt, or
+  /// can still do so; otherwise kUnknown.
   void Call(const JobCall& call, Duration timeout, Planner::AnswerFn fn);
 
  private:
--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -211,6 +211,7 @@
                             const StoreRows& agents) {
   const MonotonicTime now = loop_.now();
   board_ = {};
+  admission_ = {};
   board_.epoch = journal_.own_head().epoch;
   board_.took_over_at = now;
   board_.ownership_proven_at = claim_sent_at_;
@@ -319,6 +320,7 @@
        {"reason", reason}});
   commit_in_flight_.reset();
   board_ = {};
+  admission_ = {};
   poll_generations_.clear();
   pending_deletes_.clear();
   pending_removals_.clear();
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -33,12 +33,12 @@
   return job.started ? JobState::kRunning : JobState::kPending;
 }
 
-/// @return true if a job is known to a request that cancels or reads it. Until
-/// a job is accepted it can be cancelled, but not read.
+/// @return true if a job is known to a request about it. Until a job is
+/// accepted it can be cancelled or submitted again, but not read.
 bool IsKnown(const ShardState& board, const JobCall& call) {
   const auto it = board.jobs.find(call.job);
   if (it == board.jobs.end()) return false;
-  return it->second.accepted || call.verb == JobVerb::kCancel;
+  return it->second.accepted || call.verb != JobVerb::kRead;
 }
 
 JobAnswer MakeUnprovenAnswer(PlannerEpoch epoch) {
@@ -135,17 +135,64 @@
   if (!ValidateRowSizes(record, why)) {
     return fn(MakeAnswer(JobVerdict::kRejected, why.text));
   }
+  if (settings_.features.admission) {
+    const auto rejection = RejectLateJob(record);
+    if (rejection) return HandleUnknownJob(call, *rejection, std::move(fn));
+  }
   AddJob(board_, loop_.now(), record);
   pending_submissions_[call.spec.id].push_back(std::move(fn));
   CommitPending();
 }
 
-void Planner::HandleUnknownJob(const JobCall& call, AnswerFn fn) {
+std::optional<JobAnswer> Planner::RejectLateJob(JobRecord& record) {
+  const MonotonicTime now = loop_.now();
+  const JobSpec& spec = record.spec;
+  const AdmissionDecision decision =
+      DecideAdmission(board_, admission_, now, MakeJob(board_, now, record));
+  // The value of a job counts from its caller's first attempt.
+  record.accepted_at_ms -= (now - decision.first_seen_at).count();
+  LogAdmission(spec, decision);
+  if (!decision.rejected) return std::nullopt;
+  metrics_.CountRefusal("late");
+  JobAnswer answer = MakeAnswer(JobVerdict::kRejected, decision.reason);
+  answer.retry_after_ms = decision.retry_after.count();
+  return answer;
+}
+
+void Planner::LogAdmission(const JobSpec& spec,
+                           const AdmissionDecision& decision) {
+  const auto log = [&](Event event) {
+    Log(event, {{"job", spec.id.value},
+                {"queue", spec.queue.value},
+                {"reason", decision.reason},
+                {"needed_ms", decision.needed.count()},
+                {"left_ms", decision.left.count()},
+                {"wait_ms", decision.room.wait.count()},
+                {"own_ms", decision.room.own_work.count()},
+                {"vms", decision.room.fitting_vms},
+                {"room_milli_cpu", decision.room.room.cpu.value},
+                {"room_mib", decision.room.room.memory.value},
+                {"retry_after_ms", decision.retry_after.count()},
+                {"waited_ms", (loop_.now() - decision.first_seen_at).count()}});
+  };
+  if (decision.rejected) log(Event::kJobRejectedLate);
+  if (decision.rejecting_changed) {
+    log(decision.rejecting ? Event::kRejectingBegan : Event::kRejectingEnded);
+  }
+  if (decision.room.fitting_vms == 0) return;
+  metrics_.SetGauge("admission_wait_ms",
+                    static_cast<double>(decision.room.wait.count()));
+  metrics_.SetGauge("admission_room_milli_cpu",
+                    static_cast<double>(decision.room.room.cpu.value));
+}
+
+void Planner::HandleUnknownJob(const JobCall& call, const JobAnswer& answer,
+                               AnswerFn fn) {
   const MonotonicTime now = loop_.now();
   if (now - board_.ownership_proven_at >= kOwnerTimeout) {
     return fn(MakeUnprovenAnswer(board_.epoch));
   }
-  absence_waiters_.push_back({call, now, std::move(fn)});
+  absence_waiters_.push_back({call, now, std::move(fn), answer});
   CommitPending();
 }
 
@@ -161,7 +208,7 @@
     if (IsKnown(board_, waiter.call)) {
       Handle(waiter.call, std::move(waiter.fn));
     } else {
-      waiter.fn(MakeAnswer(JobVerdict::kUnknownJob));
+      waiter.fn(waiter.answer);
     }
   }
 }
@@ -178,7 +225,10 @@
 }
 
 void Planner::Cancel(const JobCall& call, AnswerFn fn) {
-  if (!IsKnown(board_, call)) return HandleUnknownJob(call, std::move(fn));
+  if (!IsKnown(board_, call)) {
+    return HandleUnknownJob(call, MakeAnswer(JobVerdict::kUnknownJob),
+                            std::move(fn));
+  }
   const auto it = board_.jobs.find(call.job);
   if (IsFinal(it->second.recorded)) return fn(MakeAnswer(JobVerdict::kOk));
   CancelJob(board_, loop_.now(), it->second);
@@ -191,7 +241,10 @@
 }
 
 void Planner::Read(const JobCall& call, AnswerFn fn) {
-  if (!IsKnown(board_, call)) return HandleUnknownJob(call, std::move(fn));
+  if (!IsKnown(board_, call)) {
+    return HandleUnknownJob(call, MakeAnswer(JobVerdict::kUnknownJob),
+                            std::move(fn));
+  }
   JobAnswer answer = MakeAnswer(JobVerdict::kOk);
   answer.state = VisibleState(board_.jobs.at(call.job));
   fn(answer);
--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -12,6 +12,7 @@
 #include "peer/links.h"
 #include "planner/journal.h"
 #include "planner/succession.h"
+#include "sched/admission.h"
 #include "sched/shard_state.h"
 #include "wire/loop.h"
 
@@ -90,6 +91,8 @@
     JobCall call;
     MonotonicTime arrived_at{};
     AnswerFn fn;
+    /// Sent if the job is still not known then.
+    JobAnswer answer;
   };
 
   // Ownership.
@@ -114,12 +117,19 @@
 
   // Callers' requests.
   void Submit(const JobCall& call, AnswerFn fn);
+  /// @return the answer to the caller of a job that is rejected because it
+  /// surely ends too late; empty if it is accepted.
+  /// Sets the record's time to that of the caller's first attempt.
+  std::optional<JobAnswer> RejectLateJob(JobRecord& record);
+  void LogAdmission(const JobSpec& spec, const AdmissionDecision& decision);
   void Cancel(const JobCall& call, AnswerFn fn);
   void Read(const JobCall& call, AnswerFn fn);
   /// Handles a request about a job that this planner does not know. A successor
   /// may have accepted the job, so that the answer waits for a proof that there
   /// was none when the request arrived.
-  void HandleUnknownJob(const JobCall& call, AnswerFn fn);
+  /// @param answer sent if there was none.
+  void HandleUnknownJob(const JobCall& call, const JobAnswer& answer,
+                        AnswerFn fn);
   /// Answers the requests about unknown jobs that arrived before the last proof
   /// of ownership was sent.
   void AnswerProvenAbsences();
@@ -176,6 +186,7 @@
   bool loading_ = false;
   bool retiring_ = false;
   ShardState board_;
+  AdmissionState admission_;
   std::map<QueueId, QueueTerms> queues_;
 
   bool planning_scheduled_ = false;
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -43,7 +43,7 @@
         it.job = &job;
         it.occurrence = number;
         it.step = i;
-        it.rank = RankOf(job, occurrence, now);
+        it.rank = RankOf(shard, job, occurrence, now);
         out.push_back(it);
         const bool is_starving = it.rank.outlook == Outlook::kTooLate &&
                                  !job.record.spec.steps[i].gang &&
--- a/source/sched/rank.cc
+++ b/source/sched/rank.cc
@@ -15,9 +15,6 @@
 namespace almondtally::sched {
 namespace {
 
-/// A job has no value left once this many times its objective has passed since
-/// it was due.
-constexpr int64_t kNoValueAfterObjectives = 3;
 constexpr double kMilli = 1'000;
 
 bool IsStepDone(const StepEntity& step) {
@@ -73,8 +70,8 @@
 
 }  // namespace
 
-JobRank RankOf(const JobEntity& job, const OccurrenceEntity& occurrence,
-               MonotonicTime now) {
+JobRank RankOf(const ShardState& /*shard*/, const JobEntity& job,
+               const OccurrenceEntity& occurrence, MonotonicTime now) {
   JobRank out;
   out.priority = job.terms.priority;
   out.outlook = OutlookOf(job, occurrence, now);
--- a/source/sched/rank.h
+++ b/source/sched/rank.h
@@ -9,6 +9,11 @@
 
 struct JobEntity;
 struct OccurrenceEntity;
+struct ShardState;
+
+/// A job has no value left once this many times its objective has passed since
+/// it was due.
+inline constexpr int64_t kNoValueAfterObjectives = 3;
 
 /// Whether a job can still finish in time to be of value to its caller.
 enum class Outlook : uint8_t { kOnTime, kLate, kTooLate };
@@ -24,8 +29,8 @@
   auto operator<=>(const JobRank&) const = default;
 };
 
-JobRank RankOf(const JobEntity& job, const OccurrenceEntity& occurrence,
-               MonotonicTime now);
+JobRank RankOf(const ShardState& shard, const JobEntity& job,
+               const OccurrenceEntity& occurrence, MonotonicTime now);
 
 /// @param rank of a job that is too late to be of value, and of which nothing
 /// runs.
--- a/source/sched/shard_state.cc
+++ b/source/sched/shard_state.cc
@@ -88,10 +88,9 @@
   }
 }
 
-JobEntity& AddJob(ShardState& shard, MonotonicTime now,
+JobEntity MakeJob(const ShardState& shard, MonotonicTime now,
                   const JobRecord& record) {
-  JobEntity& job = shard.jobs[record.spec.id];
-  shard.open_jobs.insert(record.spec.id);
+  JobEntity job;
   job.record = record;
   const auto it = shard.queues.find(record.spec.queue);
   job.terms = it != shard.queues.end() ? it->second : record.terms;
@@ -106,6 +105,14 @@
   return job;
 }
 
+JobEntity& AddJob(ShardState& shard, MonotonicTime now,
+                  const JobRecord& record) {
+  shard.open_jobs.insert(record.spec.id);
+  JobEntity& job = shard.jobs[record.spec.id];
+  job = MakeJob(shard, now, record);
+  return job;
+}
+
 void ApplyProgress(ShardState& shard, MonotonicTime now, JobEntity& job,
                    const JobProgress& progress) {
   const JobSpec& spec = job.record.spec;
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -294,6 +294,9 @@
 
 // Jobs.
 
+/// @return a job as AddJob would add it.
+JobEntity MakeJob(const ShardState& shard, MonotonicTime now,
+                  const JobRecord& record);
 /// Adds a job that is being accepted or was loaded from the store.
 JobEntity& AddJob(ShardState& shard, MonotonicTime now,
                   const JobRecord& record);
--- a/tests/planner/planner_test.cc
+++ b/tests/planner/planner_test.cc
@@ -161,7 +161,8 @@
       : links(cluster.loop),
         store(StoreOfProcess(cluster.store, alive, jobs_readable)),
         planner(cluster.loop, links, store, cluster.metrics,
-                {EntryId(name), at, take_over_delay, cpu, Duration(120'000)}),
+                {EntryId(name), at, take_over_delay, cpu, Duration(120'000),
+                 kDefaultTailLimit, PlanningFeatures{}}),
         gateway(cluster.loop, links, planner) {
     cluster.Connect(links, alive);
     cluster.planners[at] = &planner;
--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -59,7 +59,7 @@
       planner(loop, links, store, fleet.metrics_,
               {EntryId("entry" + std::to_string(number)), EntryAddress(number),
                Duration(0), MilliCpu(0), Duration(120'000), kDefaultTailLimit,
-               [&fleet] { return fleet.unix_ms(); }}),
+               fleet.features_, [&fleet] { return fleet.unix_ms(); }}),
       gateway(loop, links, planner) {
   fleet.StartClock(loop);
   links.SetTransport(
@@ -71,8 +71,9 @@
   planner.Start();
 }
 
-SimulatedFleet::SimulatedFleet(size_t entries, size_t vms)
-    : store_(memory_.Make()) {
+SimulatedFleet::SimulatedFleet(size_t entries, size_t vms,
+                               PlanningFeatures features)
+    : features_(features), store_(memory_.Make()) {
   vms_.resize(vms);
   for (size_t i = 0; i < vms; ++i) {
     memory_.Apply({{},
