--- a/tests/planner/evacuation_test.cc
+++ b/tests/planner/evacuation_test.cc
@@ -19,7 +19,7 @@
 /// Two entries and two VMs, each VM in a data centre of its own, with lasting
 /// tasks of which every second one ends again and again.
 struct EvacuatedFleet {
-  SimulatedFleet fleet{2, 2, kMaxAge};
+  SimulatedFleet fleet{2, 2, PlanningFeatures{}, kMaxAge};
   uint64_t version = 1'000;
   std::set<DataCentreId> requests;
   /// Entries that can read the requests.
--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -59,7 +59,7 @@
       planner(loop, links, store, fleet.metrics_,
               {EntryId("entry" + std::to_string(number)), EntryAddress(number),
                Duration(0), MilliCpu(0), Duration(120'000), kDefaultTailLimit,
-               PlanningFeatures{}, [&fleet] { return fleet.unix_ms(); },
+               fleet.features_, [&fleet] { return fleet.unix_ms(); },
                fleet.max_evacuation_age_}),
       gateway(loop, links, planner) {
   fleet.StartClock(loop);
@@ -73,8 +73,11 @@
 }
 
 SimulatedFleet::SimulatedFleet(size_t entries, size_t vms,
+                               PlanningFeatures features,
                                Duration max_evacuation_age)
-    : max_evacuation_age_(max_evacuation_age), store_(memory_.Make()) {
+    : features_(features),
+      max_evacuation_age_(max_evacuation_age),
+      store_(memory_.Make()) {
   vms_.resize(vms);
   for (size_t i = 0; i < vms; ++i) {
     memory_.Apply(
--- a/tests/planner/simulated_fleet.h
+++ b/tests/planner/simulated_fleet.h
@@ -39,7 +39,8 @@
 class SimulatedFleet {
  public:
   /// @param max_evacuation_age see PlannerSettings.
-  SimulatedFleet(size_t entries, size_t vms, Duration max_evacuation_age = {});
+  SimulatedFleet(size_t entries, size_t vms, PlanningFeatures features = {},
+                 Duration max_evacuation_age = {});
   SimulatedFleet(const SimulatedFleet&) = delete;
   SimulatedFleet& operator=(const SimulatedFleet&) = delete;
 
@@ -196,6 +197,7 @@
   /// Sets the clock of a new process.
   void StartClock(EventLoop& loop) const;
 
+  PlanningFeatures features_;
   MonotonicTime now_;
   Duration max_evacuation_age_;
   MemoryStore memory_;
