Copies of runs for steps that allow them

Change: at the end of a planning pass, with the setting for uneven VMs, a task whose run has much longer left than a fresh run elsewhere gets one copy, if no ready task waits for the room and the copies hold less than a tenth of the service's CPU. The first end counts and the other run is stopped; a copy that is left alone becomes the run of its task; a planner that takes over keeps both. Tests: the judge of random partitions knows copies: for their steps two runs at once are allowed, and starts later than a second after an end that was taken note of, or after the job was shown as completed, are not; for all others TWICE holds as before.

--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -285,6 +285,20 @@
        "fillers on its VM"},
       {Event::kTailWithinTarget, "tail.within_target", kPlanning, kInfo,
        "a serving task meets its target again; age is how long it missed it"},
+      {Event::kCopyStarted, "copy.started", kPlanning, kInfo,
+       "a second run of a task was placed, with the expected times; age is how "
+       "long the first has been placed"},
+      {Event::kCopyWon, "copy.won", kPlanning, kInfo,
+       "a copy ended as done before the other run of its task; age is the time "
+       "since it was placed"},
+      {Event::kCopyWasted, "copy.wasted", kPlanning, kInfo,
+       "a copy came to nothing, with the reason; age is the time since it was "
+       "placed"},
+      {Event::kCopyPromoted, "copy.promoted", kPlanning, kInfo,
+       "a copy is the only run of its task that is left; the reason says how "
+       "the other one ended"},
+      {Event::kCopyAdopted, "copy.adopted", kPlanning, kInfo,
+       "a second run of a task that this planner did not start is kept"},
       {Event::kVmListed, "vm.listed", kPlanning, kInfo,
        "an agent's row was read"},
       {Event::kVmSynced, "vm.synced", kPlanning, kInfo,
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -295,6 +295,16 @@
           return Event::kTailOverTarget;
         case Decision::Kind::kWithinTarget:
           return Event::kTailWithinTarget;
+        case Decision::Kind::kCopyStarted:
+          return Event::kCopyStarted;
+        case Decision::Kind::kCopyAdopted:
+          return Event::kCopyAdopted;
+        case Decision::Kind::kCopyPromoted:
+          return Event::kCopyPromoted;
+        case Decision::Kind::kCopyWon:
+          return Event::kCopyWon;
+        case Decision::Kind::kCopyWasted:
+          return Event::kCopyWasted;
       }
       return Event::kRunPlaced;
     }();
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "sched/copies.h"
 #include "sched/ownership.h"
 #include "sched/placement_pass.h"
 
@@ -86,7 +87,7 @@
     }
     Reserve(shard, *choice.vm, spec);
     AssignTask(shard, now, *choice.vm->vm, spec, key, task,
-               NextRunNumber(shard, task.run), log);
+               NextRunNumber(shard, HighestRun(task)), log);
     ++placed;
   }
 }
@@ -131,7 +132,8 @@
 
 void PlaceTasks(ShardState& shard, MonotonicTime now, Decisions& log) {
   const auto ready_steps = ListReadySteps(shard, now);
-  if (ready_steps.empty()) return;
+  const auto slow_runs = ListSlowRuns(shard, now);
+  if (ready_steps.empty() && slow_runs.empty()) return;
   PlacementPass pass;
   const SuspectTests tests = ListSuspectTests(shard, now);
   pass.candidates = ListCandidateVms(shard, now, tests);
@@ -148,6 +150,7 @@
       PlaceIndependentTasks(shard, now, it, pass, log);
     }
   }
+  StartCopies(shard, now, pass, ready_steps, slow_runs, log);
 }
 
 }  // namespace almondtally::sched
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -2,6 +2,7 @@
 #include <cmath>
 #include <utility>
 
+#include "sched/copies.h"
 #include "sched/detail.h"
 #include "sched/ownership.h"
 #include "sched/shard_state.h"
@@ -50,6 +51,7 @@
   if (task.phase == TaskPhase::kDone) return;
   task.phase = TaskPhase::kDone;
   task.vm = {};
+  task.copy.reset();
   shard.crashed_tasks.erase(key);
   shard.suspects.erase(key);
   auto& occurrence = job.occurrences.at(key.occurrence);
@@ -122,6 +124,11 @@
   task.last_outcome_vm = vm;
 }
 
+/// A VM that did not carry out a start is avoided for a while.
+void AvoidAfterRefusedStart(VmEntity& vm, MonotonicTime now) {
+  vm.avoided_until = now + kAvoidAfterRefusedStart;
+}
+
 /// Processes the end of a task's current run.
 void ProcessCurrentRunEnd(ShardState& shard, MonotonicTime now, JobEntity& job,
                           const TaskKey& key, TaskEntity& task, VmEntity& vm,
@@ -144,7 +151,7 @@
       return ProcessFailure(shard, now, job, key, task, end.run, vm, log);
     case RunEnd::kNotStarted:
       DelayPlacement(task, now + kRefusedStartDelay);
-      vm.avoided_until = now + kAvoidAfterRefusedStart;
+      AvoidAfterRefusedStart(vm, now);
       ++task.refused_starts;
       task.last_refusal = end.reason;
       break;
@@ -157,6 +164,25 @@
   }
 }
 
+/// Processes the end of a task's copy. The current run goes on unless the task
+/// is done or its job has failed.
+void ProcessCopyEnd(ShardState& shard, MonotonicTime now, JobEntity& job,
+                    TaskEntity& task, VmEntity& vm, const RunEndReport& end,
+                    Decisions& log) {
+  RemoveCopy(task, now);
+  switch (end.end) {
+    case RunEnd::kDone:
+      vm.failing_jobs.clear();
+      return ProcessSuccess(shard, now, job, end.task, vm.id, true);
+    case RunEnd::kFailed:
+      return ProcessFailure(shard, now, job, end.task, task, end.run, vm, log);
+    case RunEnd::kNotStarted:
+      return AvoidAfterRefusedStart(vm, now);
+    default:
+      return;
+  }
+}
+
 void LogEnd(const VmEntity& vm, const RunEndReport& end, bool is_known,
             Decisions& log) {
   Decision decision;
@@ -189,7 +215,8 @@
     // The lease ended before the end was heard, which voids it. The task is
     // left to its later run.
     const bool is_void =
-        end.run == task.lost_run && task.phase == TaskPhase::kPlaced;
+        (end.run == task.lost_run || end.run == task.lost_copy) &&
+        task.phase == TaskPhase::kPlaced;
     if (is_void) return;
     return ProcessSuccess(shard, now, job, end.task, vm.id, true);
   }
@@ -198,37 +225,49 @@
   }
 }
 
-void ProcessRunEnd(ShardState& shard, MonotonicTime now, VmEntity& vm,
-                   const RunEndReport& end, Decisions& log) {
-  const auto it = vm.runs.find(end.task);
-  if (it != vm.runs.end() && it->second.run <= end.run) vm.runs.erase(it);
-  JobEntity* job = FindJob(shard, end.task.job);
-  TaskEntity* task = FindReportedTask(shard, now, end.task);
-  LogEnd(vm, end, task != nullptr, log);
-  if (job == nullptr || task == nullptr || IsFinal(job->state)) return;
-  if (task->phase == TaskPhase::kDone) return;
-  if (end.end != RunEnd::kDone && IsFailureRecorded(*task, end)) return;
-  ProcessWorkerCrash(shard, now, *job, *task, vm, end, log);
-  if (IsFinal(job->state)) return;
+/// Processes the end of a run of a task that is not done.
+void ProcessTaskRunEnd(ShardState& shard, MonotonicTime now, JobEntity& job,
+                       TaskEntity& task, VmEntity& vm, const RunEndReport& end,
+                       Decisions& log) {
+  ProcessWorkerCrash(shard, now, job, task, vm, end, log);
+  if (IsFinal(job.state)) return;
   // The worker has survived the run. A lasting task may end before it is
   // cleared each time, and would keep its VM closed to all others.
   if (end.end == RunEnd::kDone || end.end == RunEnd::kFailed) {
     shard.suspects.erase(end.task);
   }
-  const bool is_current = task->phase == TaskPhase::kPlaced &&
-                          task->vm == vm.id && task->run == end.run;
+  const bool is_copy = IsCopy(task, vm.id, end.run);
+  const bool is_current = task.phase == TaskPhase::kPlaced &&
+                          task.vm == vm.id && task.run == end.run;
   // A run that an earlier planner started, or one on a VM that was considered
   // lost. While the task is idle, its outcome counts like that of a current
   // run.
   const bool is_untracked =
-      task->phase == TaskPhase::kIdle && end.run > task->last_ended_run;
-  if (!is_current && !is_untracked) {
-    return ProcessOtherRunEnd(shard, now, *job, *task, vm, end, log);
+      task.phase == TaskPhase::kIdle && end.run > task.last_ended_run;
+  if (!is_current && !is_copy && !is_untracked) {
+    return ProcessOtherRunEnd(shard, now, job, task, vm, end, log);
   }
-  if (end.end != RunEnd::kNotStarted) job->started = true;
-  task->last_ended_run = end.run;
-  task->run = std::max(task->run, end.run);
-  ProcessCurrentRunEnd(shard, now, *job, end.task, *task, vm, end, log);
+  if (end.end != RunEnd::kNotStarted) job.started = true;
+  task.last_ended_run = std::max(task.last_ended_run, end.run);
+  if (is_copy) return ProcessCopyEnd(shard, now, job, task, vm, end, log);
+  task.run = std::max(task.run, end.run);
+  ProcessCurrentRunEnd(shard, now, job, end.task, task, vm, end, log);
+  if (!IsFinal(job.state)) PromoteCopy(shard, end.task, task, log);
+}
+
+void ProcessRunEnd(ShardState& shard, MonotonicTime now, VmEntity& vm,
+                   const RunEndReport& end, Decisions& log) {
+  const auto it = vm.runs.find(end.task);
+  if (it != vm.runs.end() && it->second.run <= end.run) vm.runs.erase(it);
+  JobEntity* job = FindJob(shard, end.task.job);
+  TaskEntity* task = FindReportedTask(shard, now, end.task);
+  LogEnd(vm, end, task != nullptr, log);
+  if (job == nullptr || task == nullptr || IsFinal(job->state)) return;
+  if (task->phase == TaskPhase::kDone) return;
+  if (end.end != RunEnd::kDone && IsFailureRecorded(*task, end)) return;
+  const std::optional<TaskCopy> copy = task->copy;
+  ProcessTaskRunEnd(shard, now, *job, *task, vm, end, log);
+  if (copy) LogCopyOutcome(now, *job, *task, *copy, vm.id, end, log);
 }
 
 /// Updates the planner's view of a reported run. The run becomes the current
@@ -268,8 +307,13 @@
     run.stop_wanted = true;
     return;
   }
-  if (!report.checkpoint.empty()) task->checkpoint = report.checkpoint;
+  // The checkpoint of a copy may be behind.
+  const bool is_copy = IsCopy(*task, vm.id, report.run);
+  if (!report.checkpoint.empty() && (!is_copy || task->checkpoint.empty())) {
+    task->checkpoint = report.checkpoint;
+  }
   if (report.phase == RunPhase::kRunning) job->started = true;
+  if (is_copy) return;
   const bool is_current = task->vm == vm.id && task->run == report.run;
   const bool is_adopted = task->phase == TaskPhase::kIdle;
   if (report.phase != RunPhase::kStarting && (is_current || is_adopted)) {
@@ -289,7 +333,8 @@
     log.push_back(std::move(decision));
     return;
   }
-  if (!is_current) run.stop_wanted = true;
+  if (is_current || AdoptCopy(shard, now, report.task, *task, vm, log)) return;
+  run.stop_wanted = true;
 }
 
 /// Removes runs that the agent does not have and whose end it did not report.
@@ -322,6 +367,10 @@
     if (task != nullptr && task->phase == TaskPhase::kPlaced &&
         task->vm == vm.id && task->run == run.run) {
       MakeIdle(*task, now, vm.id, "missing");
+      PromoteCopy(shard, it->first, *task, log);
+    } else if (task != nullptr && IsCopy(*task, vm.id, run.run)) {
+      LogWastedCopy(now, it->first, *task, "missing", log);
+      RemoveCopy(*task, now);
     }
     it = vm.runs.erase(it);
   }
@@ -426,9 +475,16 @@
     for (const auto& [key, run] : runs) {
       TaskEntity* task = FindTask(shard, key);
       if (task == nullptr || task->phase != TaskPhase::kPlaced) continue;
+      if (IsCopy(*task, id, run.run)) {
+        LogWastedCopy(now, key, *task, "vm_lost", log);
+        task->lost_copy = run.run;
+        RemoveCopy(*task, now);
+        continue;
+      }
       if (task->vm != id || task->run != run.run) continue;
       task->lost_run = run.run;
       MakeIdle(*task, now, id, "vm_lost");
+      PromoteCopy(shard, key, *task, log);
     }
   }
 }
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -26,6 +26,14 @@
   kDone,
 };
 
+/// A second run of a task whose step allows copies.
+struct TaskCopy {
+  VmId vm;
+  RunNumber run;
+  /// When it was placed or adopted.
+  MonotonicTime since{};
+};
+
 struct TaskEntity {
   TaskPhase phase = TaskPhase::kIdle;
   RunNumber run;
@@ -34,6 +42,14 @@
   /// Latest run that was on a VM when all leases of that VM had ended.
   RunNumber lost_run;
   VmId vm;
+  /// Only while the task is placed. Its number may be lower than `run`.
+  std::optional<TaskCopy> copy;
+  /// Highest run number of the task as of its last copy.
+  RunNumber highest_run;
+  /// Latest copy that was on a VM when all leases of that VM had ended.
+  RunNumber lost_copy;
+  /// Earliest time of the next search for a copy's VM.
+  MonotonicTime next_copy_at{};
   /// VM of the latest run that this planner placed; a retry prefers another.
   VmId last_vm;
   /// How the latest run ended, or why it no longer counts, and the VM it was
@@ -255,6 +271,8 @@
   std::set<JobId> dirty;
   /// Earliest time of the next scan for tasks that wait.
   MonotonicTime next_wait_scan_at{};
+  /// Earliest time of the next scan for runs to copy.
+  MonotonicTime next_copy_scan_at{};
   /// Ended jobs, oldest first, that are deleted from the store later.
   std::deque<JobId> ended;
   /// Unix time minus monotonic time, in ms.
@@ -280,6 +298,11 @@
     kWaiting,
     kOverTarget,
     kWithinTarget,
+    kCopyStarted,
+    kCopyAdopted,
+    kCopyPromoted,
+    kCopyWon,
+    kCopyWasted,
   };
   Kind kind = Kind::kPlaced;
   TaskKey task;
--- a/source/sched/suspect_placement.cc
+++ b/source/sched/suspect_placement.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "sched/copies.h"
 #include "sched/placement_pass.h"
 
 // Placement of the tasks that are suspected of crashing workers; see
@@ -101,7 +102,7 @@
     if (!may_share) vm->busy_with_suspect = true;
     vm->loss_on_crash.reset();
     AssignTask(shard, now, *vm->vm, spec, key, task,
-               NextRunNumber(shard, task.run), log);
+               NextRunNumber(shard, HighestRun(task)), log);
   }
 }
 
--- a/tests/planner/run_judge.h
+++ b/tests/planner/run_judge.h
@@ -29,6 +29,8 @@
   /// The lease lapsed after the end, before the end was acknowledged.
   bool lapsed_after_end = false;
   bool acknowledged = false;
+  /// When the end was acknowledged, if it was.
+  MonotonicTime acknowledged_at{};
 };
 
 /// A caller's look at a job.
--- a/tests/planner/run_judge_test.cc
+++ b/tests/planner/run_judge_test.cc
@@ -52,6 +52,7 @@
     run.ended_at = At(to);
     run.end = end;
     run.acknowledged = true;
+    run.acknowledged_at = At(to);
     day.runs.push_back(run);
     return day.runs.back();
   }
@@ -103,6 +104,51 @@
   CHECK_FALSE(day.Breaks("TWICE"));
 }
 
+TEST_CASE("TWICE: steps that allow copies") {
+  Day day;
+  day.job().spec.steps[1].copies_allowed = true;
+  day.AddRun(kLastTask, 2, 2'600, 3'100, RunEnd::kStopped);
+  CHECK(day.Holds());
+  SUBCASE("not for other steps") {
+    day.job().spec.steps[1].copies_allowed = false;
+    CHECK(day.Breaks("TWICE"));
+  }
+  SUBCASE("a start over a second after an end as done was acknowledged") {
+    day.day.runs[2].acknowledged_at = At(30'000);
+    day.last_run().ended_at = At(31'100);
+    day.last_run().started_at = At(31'000);
+    day.job().readings.back().answered_at = At(32'000);
+    CHECK(day.Holds());
+    day.last_run().started_at = At(31'001);
+    CHECK(day.Breaks("TWICE"));
+    day.day.runs[2].acknowledged = false;
+    CHECK(day.Holds());
+  }
+  SUBCASE("a start over a second after the job was shown as completed") {
+    day.day.runs[2].acknowledged = false;
+    day.last_run().ended_at = At(31'100);
+    day.last_run().started_at = At(31'010);
+    CHECK(day.Holds());
+    day.last_run().started_at = At(31'011);
+    CHECK(day.Breaks("TWICE"));
+    day.day.healed_at = At(28'100);
+    CHECK_FALSE(day.Breaks("TWICE"));
+  }
+}
+
+TEST_CASE("BUDGET: steps that allow copies") {
+  Day day;
+  day.job().spec.steps[1].copies_allowed = true;
+  for (uint32_t i = 0; i < kAttempts; ++i)
+    day.AddRun(kLastTask, 2 + i, 2'600, 30'000, RunEnd::kFailed);
+  day.day.runs[2].acknowledged = false;
+  day.job().readings.back().answered_at = At(40'000);
+  day.AddRun(kLastTask, 9, 31'000, 31'050, RunEnd::kStopped);
+  CHECK_FALSE(day.Breaks("BUDGET"));
+  day.last_run().started_at = At(31'001);
+  CHECK(day.Breaks("BUDGET"));
+}
+
 TEST_CASE("BUDGET: a start after the last attempt") {
   Day day;
   for (uint32_t i = 0; i < kAttempts; ++i)
