--- a/source/sched/evacuation.cc
+++ b/source/sched/evacuation.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <utility>
 
+#include "sched/copies.h"
 #include "sched/shard_state.h"
 
 // Load pattern: operators evacuate one data centre after the other and take
@@ -52,6 +53,7 @@
     task->since = now;
     task->last_outcome = "evacuated";
     task->last_outcome_vm = vm.id;
+    PromoteCopy(shard, key, *task, log);
     it = vm.runs.erase(it);
   }
 }
