Learnt run times, speeds of VMs, and places by expected end

Cause: a quarter of the VMs turns several times slower for a while, or their tasks stand still; tasks still went where CPU was free, so that each step had a task there. Change: run times by step and queue (run_times), speeds of VMs from the progress of runs and from tails (vm_speed), a bounded wait for a VM of usual speed (choice), lasting tasks and runs with checkpoints leave slow VMs (leave_slow); rank reads learnt times.

--- a/bench/policy/planner_bench.cc
+++ b/bench/policy/planner_bench.cc
@@ -109,8 +109,15 @@
   return shard;
 }
 
-void PlanningPass(benchmark::State& state) {
+/// @param uneven a quarter of the VMs is held slow.
+void RunPlanningPasses(benchmark::State& state, bool uneven) {
   ShardState shard = FullShard(state.range(0));
+  shard.features.uneven_vms = uneven;
+  int64_t i = 0;
+  for (auto& [id, vm] : shard.vms) {
+    vm.speed.slow = uneven && i++ % 4 == 0;
+    vm.speed.log_speed = -2;
+  }
   Decisions log;
   MonotonicTime now = kStart + Duration(3'000);
   // Fillers that have waited long enough take their places in the first pass.
@@ -126,6 +133,11 @@
     log.clear();
   }
 }
+void PlanningPass(benchmark::State& state) { RunPlanningPasses(state, false); }
+void PlanningPassUnevenVms(benchmark::State& state) {
+  RunPlanningPasses(state, true);
+}
+BENCHMARK(PlanningPassUnevenVms)->Arg(1'000)->Unit(benchmark::kMicrosecond);
 BENCHMARK(PlanningPass)
     ->Arg(30)
     ->Arg(100)
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -285,6 +285,14 @@
        "fillers on its VM"},
       {Event::kTailWithinTarget, "tail.within_target", kPlanning, kInfo,
        "a serving task meets its target again; age is how long it missed it"},
+      {Event::kVmSlow, "vm.slow", kPlanning, kWarning,
+       "tasks prefer other VMs: runs on this one progress slowly compared with "
+       "others of their steps, or its serving tasks with others of their jobs"},
+      {Event::kVmUsualSpeed, "vm.usual_speed", kPlanning, kInfo,
+       "a VM is no longer held slow, with the reason; age is how long it was"},
+      {Event::kRunLeftSlowVm, "run.left_slow_vm", kPlanning, kInfo,
+       "a run on a slow VM is stopped so that it can resume elsewhere; age is "
+       "how long it would have taken there"},
       {Event::kVmListed, "vm.listed", kPlanning, kInfo,
        "an agent's row was read"},
       {Event::kVmSynced, "vm.synced", kPlanning, kInfo,
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -295,6 +295,12 @@
           return Event::kTailOverTarget;
         case Decision::Kind::kWithinTarget:
           return Event::kTailWithinTarget;
+        case Decision::Kind::kVmSlow:
+          return Event::kVmSlow;
+        case Decision::Kind::kVmUsual:
+          return Event::kVmUsualSpeed;
+        case Decision::Kind::kLeftSlowVm:
+          return Event::kRunLeftSlowVm;
       }
       return Event::kRunPlaced;
     }();
@@ -335,6 +341,12 @@
   set("jobs", board_.jobs.size());
   set("vms", board_.vms.size());
   set("starts", board_.starts);
+  set("vms_slow",
+      std::count_if(board_.vms.begin(), board_.vms.end(),
+                    [](const auto& it) { return it.second.speed.slow; }));
+  set("runs_left_slow_vms", board_.runs_left_slow);
+  set("run_time_error", board_.run_time_error);
+  set("declared_time_error", board_.declared_time_error);
   set("proof_age_ms",
       planning_ ? (loop_.now() - board_.ownership_proven_at).count() : -1);
   set("store_failed", store_failed_ ? 1 : 0);
--- a/source/sched/candidates.cc
+++ b/source/sched/candidates.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 
+#include "sched/expected_end.h"
 #include "sched/ownership.h"
 
 namespace almondtally::sched {
@@ -20,6 +21,11 @@
   return vm.avoided_until > now || !HasReportedRecently(vm, now);
 }
 
+/// @return true if tasks would fail or stand still on the VM.
+bool IsSetAside(const VmEntity& vm, MonotonicTime now) {
+  return vm.set_aside_until > now || StandsStill(vm);
+}
+
 /// @return the services of which most VMs are set aside. Their failures are due
 /// to the tasks, and no other VM would do better.
 std::set<ServiceId> ListServicesMostlySetAside(const ShardState& shard,
@@ -27,7 +33,7 @@
   std::map<ServiceId, int> balance;
   for (const auto& [id, vm] : shard.vms) {
     if (!AcceptsTasks(shard, vm, now)) continue;
-    balance[vm.worker.service] += vm.set_aside_until > now ? 1 : -1;
+    balance[vm.worker.service] += IsSetAside(vm, now) ? 1 : -1;
   }
   std::set<ServiceId> out;
   for (const auto& [service, surplus] : balance) {
@@ -66,7 +72,7 @@
   for (auto& [id, vm] : shard.vms) {
     const WorkerReport& worker = vm.worker;
     const bool set_aside =
-        vm.set_aside_until > now && !mostly_set_aside.contains(worker.service);
+        IsSetAside(vm, now) && !mostly_set_aside.contains(worker.service);
     if (!AcceptsTasks(shard, vm, now) || set_aside) continue;
     CandidateVm candidate;
     candidate.vm = &vm;
@@ -77,6 +83,7 @@
     candidate.reserved_for_suspects =
         vm.reserved_for_suspects_until > now || vm.has_former_lease;
     candidate.unreliable = IsUnreliable(vm, now);
+    candidate.speed = SpeedOf(shard, vm, now);
     for (const auto& [task, run] : vm.runs) {
       Resources size = run.size;
       if (run.filler) {
--- a/source/sched/candidates.h
+++ b/source/sched/candidates.h
@@ -35,6 +35,8 @@
   size_t suspects_placed = 0;
   /// Only suspects may start here.
   bool reserved_for_suspects = false;
+  /// See SpeedOf.
+  double speed = 1;
   /// Starts are likely not to be carried out here.
   bool unreliable = false;
   /// See LossOnCrash; empty until it is needed.
--- a/source/sched/choice.cc
+++ b/source/sched/choice.cc
@@ -3,11 +3,14 @@
 #include <utility>
 
 #include "sched/placement_pass.h"
+#include "sched/run_times.h"
 
 // Load pattern: lasting tasks that serve users occupy most of every VM. Fillers
 // use the remaining CPU and interfere with some of these tasks. Tasks that
 // count against a VM's capacity are therefore packed, and fillers are placed
 // where they interfere least, so that some VMs stay free of sensitive tasks.
+// Some VMs turn several times slower for a while. A task that such a VM would
+// cost more than a short wait leaves it alone for as long.
 
 namespace almondtally::sched {
 namespace {
@@ -22,8 +25,26 @@
 /// Exceeds all other differences between VMs: tasks that are not started lose
 /// more than by any other choice.
 constexpr double kUnreliableVmPenalty = 32;
+/// Exceeds the differences between VMs of like speed.
+constexpr double kSlowVmPenalty = 12;
+/// Longest wait for a VM of usual speed.
+constexpr Duration kMaxWaitForSpeed{8'000};
 constexpr double kUnsuitable = std::numeric_limits<double>::lowest();
 
+/// Waiting for as long as a slow VM would cost is at most twice as long as the
+/// best choice, whenever a VM of usual speed gets room.
+/// @return true if a task waits for a VM of usual speed.
+bool WaitsForSpeed(const ShardState& shard, MonotonicTime now,
+                   const PlacementPass& pass, const StepSpec& step,
+                   const TaskKey& key, const TaskEntity& task) {
+  if (pass.fastest_slow <= 0 || step.lasting) return false;
+  const auto time =
+      EstimateRunTime(shard, now, shard.jobs.at(key.job), key.step);
+  const auto cost = static_cast<int64_t>(
+      static_cast<double>(time.typical.count()) * (1 / pass.fastest_slow - 1));
+  return now - task.since < std::min(Duration(cost), kMaxWaitForSpeed);
+}
+
 /// @return the score of a VM for a task, where higher is better; kUnsuitable if
 /// the task should wait instead.
 double Score(const ShardState& shard, MonotonicTime now, CandidateVm& candidate,
@@ -60,26 +81,29 @@
       candidate.vm->worker.rack.value != step.data_rack) {
     score -= 2;
   }
+  score -= kSlowVmPenalty * (1 - candidate.speed);
   return score;
 }
 
 /// @param may_wait the task may wait for a VM whose serving tasks it would not
 /// disturb.
 bool IsKnownUnmet(const PlacementPass& pass, const QueueTerms& terms,
-                  const StepSpec& step, bool may_wait) {
+                  const StepSpec& step, bool may_wait, bool waits_for_speed) {
   return std::any_of(
       pass.unmet.begin(), pass.unmet.end(), [&](const UnmetRequest& it) {
         return it.filler == step.filler && Fits(it.each, step.each) &&
                it.service == terms.service &&
                it.required_label == step.required_label &&
-               (!it.image || (may_wait && *it.image == step.image));
+               (!it.image || (may_wait && *it.image == step.image)) &&
+               (!it.usual_vms_only || waits_for_speed);
       });
 }
 
 void RememberUnmet(PlacementPass& pass, const QueueTerms& terms,
-                   const StepSpec& step, bool ruled_out_by_serving) {
-  UnmetRequest unmet{terms.service, step.required_label, step.filler, step.each,
-                     std::nullopt};
+                   const StepSpec& step, bool ruled_out_by_serving,
+                   bool ruled_out_by_speed) {
+  UnmetRequest unmet{terms.service, step.required_label, step.filler,
+                     step.each,     std::nullopt,        ruled_out_by_speed};
   if (ruled_out_by_serving) unmet.image = step.image;
   pass.unmet.push_back(std::move(unmet));
 }
@@ -92,11 +116,15 @@
                   const TaskEntity& task) {
   const bool may_wait = now - task.since < kMaxFillerWait;
   VmChoice out;
-  // Fillers of one step may differ in how long they may still wait.
-  out.others_may_fit = step.filler && may_wait;
-  if (IsKnownUnmet(pass, terms, step, may_wait)) return out;
+  const bool waits_for_speed = WaitsForSpeed(shard, now, pass, step, key, task);
+  // Tasks of one step may differ in how long they may still wait. One that has
+  // not run waits as long as any.
+  out.others_may_fit =
+      (step.filler && may_wait) || (waits_for_speed && !task.last_vm.empty());
+  if (IsKnownUnmet(pass, terms, step, may_wait, waits_for_speed)) return out;
   double best_score = kUnsuitable;
   bool ruled_out_by_serving = false;
+  bool ruled_out_by_speed = false;
   bool closed_to_task = false;
   for (CandidateVm& candidate : pass.candidates) {
     if (!IsOpenToInnocent(candidate)) continue;
@@ -106,6 +134,10 @@
       if (HasEarlierRun(candidate, key)) out.others_may_fit = true;
       continue;
     }
+    if (candidate.speed < 1 && waits_for_speed) {
+      ruled_out_by_speed = true;
+      continue;
+    }
     const double score = Score(shard, now, candidate, step, task);
     if (score == kUnsuitable) ruled_out_by_serving = true;
     if (score <= best_score) continue;
@@ -113,8 +145,9 @@
     best_score = score;
   }
   // Other tasks may still use a VM that is closed to this one only.
-  if (out.vm == nullptr && !closed_to_task)
-    RememberUnmet(pass, terms, step, ruled_out_by_serving);
+  if (out.vm == nullptr && !closed_to_task) {
+    RememberUnmet(pass, terms, step, ruled_out_by_serving, ruled_out_by_speed);
+  }
   return out;
 }
 
--- a/source/sched/detail.h
+++ b/source/sched/detail.h
@@ -30,6 +30,22 @@
 void StopRunsOverCapacity(ShardState& shard, VmEntity& vm, MonotonicTime now,
                           Decisions& log);
 
+/// @return true if the disruption limit of a step allows taking one of its
+/// tasks down.
+bool MayDisrupt(const ShardState& shard, MonotonicTime now, const TaskKey& key,
+                const StepSpec& step);
+
+/// @return true if another VM could run a filler at nearly full speed.
+bool CanRunElsewhere(const ShardState& shard, MonotonicTime now,
+                     const VmEntity& here, const TaskKey& key,
+                     const StepSpec& step);
+
+/// Estimates the speeds of the VMs from the evidence since the last update.
+void UpdateVmSpeeds(ShardState& shard, MonotonicTime now, Decisions& log);
+
+/// Stops runs on slow VMs that end much sooner, or serve better, elsewhere.
+void StopRunsOnSlowVms(ShardState& shard, MonotonicTime now, Decisions& log);
+
 /// @return the CPU use of the fillers on a VM, as last measured.
 std::vector<FillerUse> MeasuredFillerUse(const VmEntity& vm);
 
--- a/source/sched/gangs.cc
+++ b/source/sched/gangs.cc
@@ -21,7 +21,9 @@
   for (; key.index < spec.count; ++key.index) {
     CandidateVm* best = nullptr;
     for (CandidateVm& candidate : candidates) {
-      if (candidate.unreliable && reliable_only) continue;
+      // One slow member slows down all of them.
+      if ((candidate.unreliable || candidate.speed < 1) && reliable_only)
+        continue;
       if (!IsOpenToInnocent(candidate)) continue;
       if (spec.one_rack && candidate.vm->worker.rack != rack) continue;
       if (!HasRoom(candidate, ready_step.job->terms, spec)) continue;
--- a/source/sched/learn.cc
+++ b/source/sched/learn.cc
@@ -96,6 +96,12 @@
     const double log_tail = std::log(std::min(tail, kBacklogRatio));
     const double rise = ExpectedRise(shard.interference, run.image, fillers);
     const MonotonicTime at = now - kMeasurementAge;
+    if (!load.samples.empty()) {
+      const double excess = std::log(tail) - rise - PredictLogTail(load, at);
+      RecordTailExcess(shard, vm, excess, !fillers.empty());
+    }
+    // What a slow VM adds is due neither to load nor to fillers.
+    if (MayBeSlow(vm)) continue;
     if (!load.samples.empty()) {
       const double observed_rise = log_tail - PredictLogTail(load, at);
       const bool backlog = tail > kBacklogRatio;
--- a/source/sched/pace.cc
+++ b/source/sched/pace.cc
@@ -90,14 +90,13 @@
   }
 }
 
-/// @return true if another VM could run a paused filler at nearly full speed.
 bool CanRunElsewhere(const ShardState& shard, MonotonicTime now,
                      const VmEntity& here, const TaskKey& key,
                      const StepSpec& step) {
   return std::any_of(shard.vms.begin(), shard.vms.end(), [&](const auto& it) {
     const VmEntity& vm = it.second;
     constexpr double kNearlyFullSpeed = 0.9;
-    if (vm.id == here.id || vm.worker.draining) return false;
+    if (vm.id == here.id || vm.worker.draining || vm.speed.slow) return false;
     if (!HasReportedRecently(vm, now)) return false;
     if (vm.worker.service != here.worker.service) return false;
     int64_t free_cpu = vm.worker.capacity.cpu.value;
@@ -114,6 +113,7 @@
 }
 
 void StopRunsToMove(ShardState& shard, MonotonicTime now, Decisions& log) {
+  UpdateVmSpeeds(shard, now, log);
   for (auto& [id, vm] : shard.vms) {
     std::erase_if(vm.runs, [](const auto& it) {
       const VmRun& run = it.second;
@@ -161,6 +161,7 @@
     }
     if (!vm.worker.draining) StopRunsOverCapacity(shard, vm, now, log);
   }
+  StopRunsOnSlowVms(shard, now, log);
 }
 
 }  // namespace almondtally::sched
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -43,7 +43,7 @@
         it.job = &job;
         it.occurrence = number;
         it.step = i;
-        it.rank = RankOf(job, occurrence, now);
+        it.rank = RankOf(shard, job, occurrence, now);
         out.push_back(it);
         const bool is_starving = it.rank.outlook == Outlook::kTooLate &&
                                  !job.record.spec.steps[i].gang &&
@@ -120,6 +120,7 @@
   task.last_vm = vm.id;
   if (task.waiting_since == MonotonicTime{}) task.waiting_since = task.since;
   task.since = now;
+  shard.leaving_slow.erase(key);
   VmRun run;
   run.run = number;
   SetRunSpec(run, step);
@@ -135,6 +136,9 @@
   PlacementPass pass;
   const SuspectTests tests = ListSuspectTests(shard, now);
   pass.candidates = ListCandidateVms(shard, now, tests);
+  for (const CandidateVm& it : pass.candidates) {
+    if (it.speed < 1) pass.fastest_slow = std::max(pass.fastest_slow, it.speed);
+  }
   if (!shard.suspects.empty()) {
     pass.suspect_limits = LimitSuspects(shard, now, tests);
     for (const ReadyStep& it : ready_steps) {
--- a/source/sched/placement_pass.h
+++ b/source/sched/placement_pass.h
@@ -22,6 +22,8 @@
   Resources each;
   /// Set if some VM had room but its serving tasks ruled the image out.
   std::optional<std::string> image;
+  /// Slow VMs had room and were left to tasks that have waited for longer.
+  bool usual_vms_only = false;
 };
 
 /// Candidates of one planning pass, and the requests that they cannot satisfy.
@@ -31,6 +33,8 @@
   std::vector<CandidateVm> candidates;
   std::vector<UnmetRequest> unmet;
   std::map<ServiceId, SuspectLimits> suspect_limits;
+  /// Speed of the fastest of the slow VMs; 0 if no VM is slow.
+  double fastest_slow = 0;
 };
 
 /// Result of the search for a VM.
--- a/source/sched/rank.cc
+++ b/source/sched/rank.cc
@@ -1,8 +1,10 @@
 #include "sched/rank.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
+#include "sched/run_times.h"
 #include "sched/shard_state.h"
 
 // Load pattern: small urgent jobs arrive steadily, while batch jobs with many
@@ -24,62 +26,89 @@
   return step.done == step.tasks.size();
 }
 
-double WorkLeft(const JobEntity& job, const OccurrenceEntity& occurrence) {
+double WorkLeft(const ShardState& shard, const JobEntity& job,
+                const OccurrenceEntity& occurrence, MonotonicTime now) {
   double sum = 0;
-  for (size_t i = 0; i < occurrence.steps.size(); ++i) {
+  for (uint32_t i = 0; i < occurrence.steps.size(); ++i) {
     const StepSpec& spec = job.record.spec.steps[i];
     const StepEntity& step = occurrence.steps[i];
     const auto left = static_cast<double>(step.tasks.size() - step.done);
+    const Duration time = EstimateRunTime(shard, now, job, i).typical;
     sum += left * static_cast<double>(spec.each.cpu.value) *
-           static_cast<double>(spec.estimate_ms) / kMilli;
+           static_cast<double>(time.count()) / kMilli;
   }
   return sum;
 }
 
-/// @return the critical path through the steps that are not done, by declared
-/// run times.
-Duration RemainingCriticalPath(const JobEntity& job,
-                               const OccurrenceEntity& occurrence) {
-  const auto& steps = job.record.spec.steps;
-  std::vector<int64_t> finish(steps.size(), 0);
-  int64_t longest = 0;
-  for (size_t i = 0; i < steps.size(); ++i) {
-    for (const uint32_t predecessor : steps[i].after) {
+/// @param time_of returns the time that a step takes, by index.
+/// @return the longest chain of steps.
+template <typename TimeFn>
+Duration CriticalPath(const JobSpec& spec, TimeFn time_of) {
+  std::vector<Duration> finish(spec.steps.size(), Duration(0));
+  Duration longest{0};
+  for (uint32_t i = 0; i < spec.steps.size(); ++i) {
+    for (const uint32_t predecessor : spec.steps[i].after) {
       finish[i] = std::max(finish[i], finish[predecessor]);
     }
-    if (!IsStepDone(occurrence.steps[i])) finish[i] += steps[i].estimate_ms;
+    finish[i] += time_of(i);
     longest = std::max(longest, finish[i]);
   }
-  return Duration(longest);
+  return longest;
+}
+
+/// @return the critical path through the steps that are not done, if their
+/// tasks are as short as they may be.
+Duration ShortestRemainingPath(const ShardState& shard, const JobEntity& job,
+                               const OccurrenceEntity& occurrence,
+                               MonotonicTime now) {
+  // Estimates that are not learnt are off by up to half in either direction.
+  constexpr int64_t kDeclaredOverLow = 2;
+  const Duration path = CriticalPath(job.record.spec, [&](uint32_t step) {
+    if (IsStepDone(occurrence.steps[step])) return Duration(0);
+    const RunTimeEstimate time = EstimateRunTime(shard, now, job, step);
+    return time.learnt ? time.low * kDeclaredOverLow : time.typical;
+  });
+  return path / kDeclaredOverLow;
+}
+
+/// @return the time from the due time of an occurrence until it counts as late.
+Duration ObjectiveOf(const ShardState& shard, const JobEntity& job,
+                     MonotonicTime now) {
+  if (!shard.features.uneven_vms) return job.objective;
+  const Duration path = CriticalPath(job.record.spec, [&](uint32_t step) {
+    return EstimateRunTime(shard, now, job, step).typical;
+  });
+  return Duration(
+      std::llround(job.terms.stretch * static_cast<double>(path.count())) +
+      job.terms.latency_target_ms);
 }
 
-Outlook OutlookOf(const JobEntity& job, const OccurrenceEntity& occurrence,
-                  MonotonicTime now) {
+Outlook OutlookOf(const ShardState& shard, const JobEntity& job,
+                  const OccurrenceEntity& occurrence, MonotonicTime now) {
   // The value of lasting tasks is the time that they run, whenever that is.
   const auto& steps = job.record.spec.steps;
   const bool lasting = std::any_of(steps.begin(), steps.end(),
                                    [](const auto& it) { return it.lasting; });
   if (lasting) return Outlook::kOnTime;
-  const MonotonicTime late_at = occurrence.due_at + job.objective;
-  if (now > occurrence.due_at + job.objective * kNoValueAfterObjectives) {
+  const Duration objective = ObjectiveOf(shard, job, now);
+  const MonotonicTime late_at = occurrence.due_at + objective;
+  if (now > occurrence.due_at + objective * kNoValueAfterObjectives) {
     return Outlook::kTooLate;
   }
-  // Estimates are off by up to half in either direction, so half of the
-  // critical path may be enough.
   const MonotonicTime earliest =
-      now + RemainingCriticalPath(job, occurrence) / 2;
+      now + ShortestRemainingPath(shard, job, occurrence, now);
   return earliest <= late_at ? Outlook::kOnTime : Outlook::kLate;
 }
 
 }  // namespace
 
-JobRank RankOf(const JobEntity& job, const OccurrenceEntity& occurrence,
-               MonotonicTime now) {
+JobRank RankOf(const ShardState& shard, const JobEntity& job,
+               const OccurrenceEntity& occurrence, MonotonicTime now) {
   JobRank out;
   out.priority = job.terms.priority;
-  out.outlook = OutlookOf(job, occurrence, now);
-  out.work_left = WorkLeft(job, occurrence);
-  out.late_at = occurrence.due_at + job.objective;
+  out.outlook = OutlookOf(shard, job, occurrence, now);
+  out.work_left = WorkLeft(shard, job, occurrence, now);
+  out.late_at = occurrence.due_at + ObjectiveOf(shard, job, now);
   return out;
 }
 
--- a/source/sched/rank.h
+++ b/source/sched/rank.h
@@ -9,6 +9,7 @@
 
 struct JobEntity;
 struct OccurrenceEntity;
+struct ShardState;
 
 /// Whether a job can still finish in time to be of value to its caller.
 enum class Outlook : uint8_t { kOnTime, kLate, kTooLate };
@@ -24,8 +25,8 @@
   auto operator<=>(const JobRank&) const = default;
 };
 
-JobRank RankOf(const JobEntity& job, const OccurrenceEntity& occurrence,
-               MonotonicTime now);
+JobRank RankOf(const ShardState& shard, const JobEntity& job,
+               const OccurrenceEntity& occurrence, MonotonicTime now);
 
 /// @param rank of a job that is too late to be of value, and of which nothing
 /// runs.
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -4,6 +4,7 @@
 
 #include "sched/detail.h"
 #include "sched/ownership.h"
+#include "sched/run_times.h"
 #include "sched/shard_state.h"
 
 namespace almondtally::sched {
@@ -57,6 +58,7 @@
   const StepSpec& spec = job.record.spec.steps[key.step];
   MarkDirty(shard, key.job);
   if (++step.done < spec.count) return;
+  RecordEndOfStep(shard, now, job, key.step);
   UpdateReadySteps(job.record.spec, occurrence, now);
   if (++occurrence.steps_done < occurrence.steps.size()) return;
   if (++job.occurrences_done < job.record.spec.occurrence_count()) return;
@@ -201,7 +203,10 @@
 void ProcessRunEnd(ShardState& shard, MonotonicTime now, VmEntity& vm,
                    const RunEndReport& end, Decisions& log) {
   const auto it = vm.runs.find(end.task);
-  if (it != vm.runs.end() && it->second.run <= end.run) vm.runs.erase(it);
+  if (it != vm.runs.end() && it->second.run <= end.run) {
+    RecordEndOfRun(shard, now, vm, end, it->second);
+    vm.runs.erase(it);
+  }
   JobEntity* job = FindJob(shard, end.task.job);
   TaskEntity* task = FindReportedTask(shard, now, end.task);
   LogEnd(vm, end, task != nullptr, log);
@@ -237,6 +242,7 @@
                 const RunReport& report, Decisions& log) {
   VmRun& run = vm.runs[report.task];
   if (run.run > report.run) return;
+  RecordProgress(shard, now, vm, report.task, run, report);
   run.run = report.run;
   run.seen = true;
   const bool started_running =
@@ -341,6 +347,7 @@
     vm.failing_jobs.clear();
     vm.set_aside_until = {};
     vm.avoided_until = {};
+    vm.speed = {};
   }
   if (worker.draining && !vm.worker.draining) {
     vm.shutdown_at = now + Duration(worker.remaining_ms);
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -15,6 +15,8 @@
 #include "sched/job.h"
 #include "sched/load.h"
 #include "sched/messages.h"
+#include "sched/run_time_samples.h"
+#include "sched/vm_speed.h"
 
 namespace almondtally::sched {
 
@@ -57,6 +59,8 @@
   MonotonicTime waiting_since{};
   uint32_t refused_starts = 0;
   std::string last_refusal;
+  /// When a run was last stopped because of its slow VM.
+  MonotonicTime left_slow_vm_at{};
   /// VMs on which the task failed; placement avoids them.
   std::vector<VmId> failed_on;
 };
@@ -97,6 +101,8 @@
   /// planner started may exist.
   bool loaded_from_store = false;
   MonotonicTime ended_at{};
+  /// By step; empty until a run time is measured.
+  std::vector<StepRunTimes> run_times;
 };
 
 /// The planner's view of a run on a VM.
@@ -139,6 +145,7 @@
   MonotonicTime running_since{};
   /// The agent's clock in the first report that showed the run as running.
   AgentTime running_since_stamp;
+  RunProgress progress;
 };
 
 /// A run end whose effect is not durable until the store has written `change`.
@@ -206,6 +213,7 @@
   /// placed here: nothing is lost if they crash it again.
   MonotonicTime reserved_for_suspects_until{};
 
+  VmSpeed speed;
   /// When the VM became known to this planner.
   MonotonicTime listed_at{};
   /// Earliest time of the next update of the fillers' speed limits.
@@ -247,6 +255,21 @@
   InterferenceModel interference;
   /// Load of the jobs that have serving tasks.
   std::map<JobId, JobLoad> loads;
+  /// Run times of the steps that ended last, by queue.
+  std::map<QueueId, QueueRunTimes> run_times;
+  /// Mean error of the learnt and of the declared run times, as the logarithm
+  /// of the ratio to the actual ones. For metrics only.
+  double run_time_error = 0;
+  double declared_time_error = 0;
+  /// Earliest time of the next update of the VMs' speeds, and of the next
+  /// search for runs that leave slow VMs.
+  MonotonicTime next_speed_update_at{};
+  MonotonicTime next_leave_slow_at{};
+  /// Lasting tasks that were stopped because of a slow VM and have not been
+  /// placed again.
+  std::set<TaskKey> leaving_slow;
+  /// Number of runs stopped because of a slow VM. For metrics only.
+  uint64_t runs_left_slow = 0;
   uint64_t starts = 0;
   /// Number of the latest progress change, and of the latest one in the store.
   uint64_t change = 0;
@@ -280,6 +303,9 @@
     kWaiting,
     kOverTarget,
     kWithinTarget,
+    kVmSlow,
+    kVmUsual,
+    kLeftSlowVm,
   };
   Kind kind = Kind::kPlaced;
   TaskKey task;
--- a/source/sched/shrink.cc
+++ b/source/sched/shrink.cc
@@ -62,24 +62,6 @@
          !run.stop_wanted && run.percent >= kAvailablePercent;
 }
 
-/// @return true if the disruption limit of a step allows taking one of its
-/// tasks down.
-bool MayDisrupt(const ShardState& shard, MonotonicTime now, const TaskKey& key,
-                const StepSpec& step) {
-  if (step.disruption_limit < 0) return true;
-  const auto& tasks = shard.jobs.at(key.job)
-                          .occurrences.at(key.occurrence)
-                          .steps[key.step]
-                          .tasks;
-  int64_t others_away = 0;
-  TaskKey other = key;
-  for (other.index = 0; other.index < tasks.size(); ++other.index) {
-    if (other.index == key.index) continue;
-    if (!IsAvailable(shard, now, other, tasks[other.index])) ++others_away;
-  }
-  return others_away < step.disruption_limit;
-}
-
 /// @return true if another VM has room for a task of the step.
 bool HasRoomElsewhere(const ShardState& shard, MonotonicTime now,
                       const VmEntity& here, const StepSpec& step) {
@@ -146,6 +128,22 @@
 
 }  // namespace
 
+bool MayDisrupt(const ShardState& shard, MonotonicTime now, const TaskKey& key,
+                const StepSpec& step) {
+  if (step.disruption_limit < 0) return true;
+  const auto& tasks = shard.jobs.at(key.job)
+                          .occurrences.at(key.occurrence)
+                          .steps[key.step]
+                          .tasks;
+  int64_t others_away = 0;
+  TaskKey other = key;
+  for (other.index = 0; other.index < tasks.size(); ++other.index) {
+    if (other.index == key.index) continue;
+    if (!IsAvailable(shard, now, other, tasks[other.index])) ++others_away;
+  }
+  return others_away < step.disruption_limit;
+}
+
 void StopRunsOverCapacity(ShardState& shard, VmEntity& vm, MonotonicTime now,
                           Decisions& log) {
   if (!IsOverCapacity(vm)) {
