--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -320,6 +320,14 @@
        "the other one ended"},
       {Event::kCopyAdopted, "copy.adopted", kPlanning, kInfo,
        "a second run of a task that this planner did not start is kept"},
+      {Event::kVmSlow, "vm.slow", kPlanning, kWarning,
+       "tasks prefer other VMs: runs on this one progress slowly compared with "
+       "others of their steps, or its serving tasks with others of their jobs"},
+      {Event::kVmUsualSpeed, "vm.usual_speed", kPlanning, kInfo,
+       "a VM is no longer held slow, with the reason; age is how long it was"},
+      {Event::kRunLeftSlowVm, "run.left_slow_vm", kPlanning, kInfo,
+       "a run on a slow VM is stopped so that it can resume elsewhere; age is "
+       "how long it would have taken there"},
       {Event::kVmListed, "vm.listed", kPlanning, kInfo,
        "an agent's row was read"},
       {Event::kVmSynced, "vm.synced", kPlanning, kInfo,
