Bound what a process holds for its callers

Ruled out: counting around h2o, since a turn of its loop reads without bound and HTTP/2 bodies are not seen until they are whole; refusing the newest, since a crowd that holds would lock out everybody.

--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -230,6 +230,11 @@
        "a peer sent a message that cannot be decoded"},
       {Event::kInputRejected, "input.rejected", kWire, kWarning,
        "a caller or an operator sent something invalid"},
+      {Event::kCallerRefused, "caller.refused", kWire, kWarning,
+       "a request was refused before it was served, with the reason"},
+      {Event::kCallerClosed, "caller.closed", kWire, kWarning,
+       "a connection or stream was closed before its request was served, with "
+       "the reason"},
       {Event::kShardClaimed, "shard.claimed", kPlanning, kInfo,
        "this process recorded itself as owner in the head row of the shard"},
       {Event::kShardClaimFailed, "shard.claim_failed", kPlanning, kInfo,
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -68,6 +68,8 @@
   kPlatformRestored = 7002,
   kPeerGarbage = 8001,
   kInputRejected = 8002,
+  kCallerRefused = 8010,
+  kCallerClosed = 8011,
   kShardClaimed = 9001,
   kShardClaimFailed = 9002,
   kShardReleaseFailed = 9003,
--- a/source/base/untrusted_json.cc
+++ b/source/base/untrusted_json.cc
@@ -6,11 +6,31 @@
 using nlohmann::json;
 using DomParser = nlohmann::detail::json_sax_dom_parser<json>;
 
-/// Builds a value and stops parsing at the first one that is nested too deeply.
-class DepthLimitedParser : public DomParser {
+/// Builds a value and stops parsing at the first one that is nested too deeply
+/// or is one too many.
+class LimitedParser : public DomParser {
  public:
-  explicit DepthLimitedParser(json& out) : DomParser(out, false) {}
+  LimitedParser(json& out, size_t max_values)
+      : DomParser(out, false), values_left_(max_values) {}
 
+  bool null() { return Count() && DomParser::null(); }
+  bool boolean(bool value) { return Count() && DomParser::boolean(value); }
+  bool number_integer(json::number_integer_t value) {
+    return Count() && DomParser::number_integer(value);
+  }
+  bool number_unsigned(json::number_unsigned_t value) {
+    return Count() && DomParser::number_unsigned(value);
+  }
+  bool number_float(json::number_float_t value, const std::string& text) {
+    return Count() && DomParser::number_float(value, text);
+  }
+  bool string(std::string& value) {
+    return Count() && DomParser::string(value);
+  }
+  bool binary(json::binary_t& value) {
+    return Count() && DomParser::binary(value);
+  }
+  bool key(std::string& value) { return Count() && DomParser::key(value); }
   bool start_object(std::size_t n) {
     return Enter() && DomParser::start_object(n);
   }
@@ -35,20 +55,28 @@
   const std::string& error() const { return error_; }
 
  private:
+  bool Count() {
+    if (values_left_-- > 0) return true;
+    error_ = "too many values";
+    return false;
+  }
+
   bool Enter() {
+    if (!Count()) return false;
     if (++depth_ <= kMaxJsonDepth) return true;
     error_ = "nested more than " + std::to_string(kMaxJsonDepth) + " levels";
     return false;
   }
 
+  size_t values_left_;
   int depth_ = 0;
   std::string error_;
 };
 
 std::optional<json> Parse(const std::string& input, json::input_format_t format,
-                          std::string& why) {
+                          size_t max_values, std::string& why) {
   json out;
-  DepthLimitedParser parser(out);
+  LimitedParser parser(out, max_values);
   try {
     if (json::sax_parse(input, &parser, format)) return out;
     why = parser.error();
@@ -61,14 +89,15 @@
 
 }  // namespace
 
-json ParseJson(const std::string& text) {
+json ParseJson(const std::string& text, size_t max_values) {
   std::string ignored;
-  return Parse(text, json::input_format_t::json, ignored)
+  return Parse(text, json::input_format_t::json, max_values, ignored)
       .value_or(json(json::value_t::discarded));
 }
 
-std::optional<json> ParseCbor(const std::string& bytes, std::string& why) {
-  return Parse(bytes, json::input_format_t::cbor, why);
+std::optional<json> ParseCbor(const std::string& bytes, std::string& why,
+                              size_t max_values) {
+  return Parse(bytes, json::input_format_t::cbor, max_values, why);
 }
 
 }  // namespace almondtally
--- a/source/peer/messages.h
+++ b/source/peer/messages.h
@@ -279,12 +279,16 @@
   return {bytes.begin(), bytes.end()};
 }
 
+/// Largest number of values in a message. Messages of the largest size that is
+/// accepted have fewer, unless their values are of a byte or two.
+inline constexpr size_t kMaxMessageValues = 262'144;
+
 /// Decodes a CBOR message.
 /// @param why set to the error if decoding fails.
 template <typename T>
 std::optional<T> DecodeMessage(const std::string& bytes, WireReason& why) {
   std::string error;
-  const auto in = ParseCbor(bytes, error);
+  const auto in = ParseCbor(bytes, error, kMaxMessageValues);
   if (!in || !in->is_object()) {
     why.Set(WireError::kDecode, in ? "not a CBOR map" : error);
     return std::nullopt;
--- a/source/sched/job.cc
+++ b/source/sched/job.cc
@@ -5,7 +5,6 @@
 namespace almondtally::sched {
 namespace {
 
-constexpr size_t kMaxSteps = 64;
 constexpr uint32_t kMaxTasksPerStep = 10'000;
 constexpr uint32_t kMaxOccurrences = 100'000;
 /// Bounds that keep sums over the tasks of all jobs within 64 bits: a million
--- a/source/sched/job.h
+++ b/source/sched/job.h
@@ -71,6 +71,9 @@
     required_label, data_rack, max_per_vm, copies_allowed, lasting, image,
     tail_target_ms, filler, disruption_limit)
 
+/// Largest number of steps of a job.
+inline constexpr size_t kMaxSteps = 64;
+
 /// A job as submitted by a caller.
 struct JobSpec {
   JobId id;
--- a/tests/base/untrusted_json_test.cc
+++ b/tests/base/untrusted_json_test.cc
@@ -76,5 +76,15 @@
   CHECK(ParseJson("1 2").is_discarded());
 }
 
+TEST_CASE("a value with too many parts is an error") {
+  std::string why;
+  CHECK_FALSE(ParseJson("[1,{\"a\":2}]", 5).is_discarded());
+  CHECK(ParseJson("[1,{\"a\":2}]", 4).is_discarded());
+  const std::string bytes = "\x82\x01\xa1\x61\x61\x02";
+  CHECK(ParseCbor(bytes, why, 5));
+  CHECK_FALSE(ParseCbor(bytes, why, 4));
+  CHECK(why == "too many values");
+}
+
 }  // namespace
 }  // namespace almondtally
--- a/tests/platform/adapter_test.cc
+++ b/tests/platform/adapter_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "platform/config_feed.h"
+#include "platform/intake.h"
 #include "platform/job_requests.h"
 #include "platform/json_text.h"
 #include "platform/worker_client.h"
@@ -305,6 +306,51 @@
 }
 
 // A count that is cut to 32 bits would turn into another, valid count.
+// Load pattern: a legal body of the smallest steps takes tens of times its size
+// once it is decoded.
+TEST_CASE("a body with too many steps, values or texts is rejected") {
+  const auto repeat = [](const std::string& part, size_t n) {
+    std::string out;
+    for (size_t i = 0; i < n; ++i) out += (i == 0 ? "" : ",") + part;
+    return out;
+  };
+  const auto rejected = [](const std::string& body) {
+    RequestError error = RequestError::kNone;
+    return !Decode({"POST", std::string("/a/") + kJob, {}, body}, error) &&
+           error == RequestError::kMalformed;
+  };
+  const std::string step = R"({"count":1})";
+  CHECK_FALSE(rejected(R"({"steps":[)" + repeat(step, 64) + "]}"));
+  CHECK(rejected(R"({"steps":[)" + repeat(step, 65) + "]}"));
+  CHECK(rejected(R"({"steps":[)" + repeat("{}", 80'000) + "]}"));
+  CHECK(rejected(R"({"x":[)" + repeat("{}", 80'000) + R"(],"steps":[{}]})"));
+  CHECK(rejected(R"({"spec":")" + std::string(60'000, 's') +
+                 R"(","steps":[{}]})"));
+}
+
+Intake IntakeOf(const std::vector<std::string>& args) {
+  SettingsReason why;
+  const auto settings = Settings::Read(IntakeSettings("160"), args, why);
+  REQUIRE(settings);
+  return MakeIntake(*settings);
+}
+
+TEST_CASE("the bounds of the intake follow from memory and descriptors") {
+  const Intake entry = IntakeOf({});
+  CHECK(entry.budget->limits().max_bytes == size_t{40} << 20);
+  CHECK(entry.callers.max_connections == 1'300);
+  CHECK(entry.peers.max_connections == 975);
+  CHECK_FALSE(entry.callers.http2);
+  CHECK(entry.peers.http2);
+  CHECK(entry.callers.max_body > 1'000'000);
+  const Intake small = IntakeOf({"--memory-mb", "64", "--max-fds", "600"});
+  CHECK(small.callers.budget->limits().max_bytes == size_t{16} << 20);
+  CHECK(small.callers.max_connections + small.peers.max_connections +
+            2 * small.probes.max_connections <
+        400);
+  CHECK(small.callers.max_connections == 133);
+}
+
 TEST_CASE("numbers out of range are rejected instead of being truncated") {
   for (const char* steps : {R"([{"count":4294967297}])", R"([{"count":-1}])",
                             R"([{"count":1e300}])",
