--- a/source/wire/http1_request.cc
+++ b/source/wire/http1_request.cc
@@ -9,7 +9,7 @@
 
 // picohttpparser is part of h2o's library, which installs no header for it.
 extern "C" {
-struct phr_header {
+struct PhrHeader {
   const char* name;
   size_t name_len;
   const char* value;
@@ -17,7 +17,7 @@
 };
 int phr_parse_request(const char* buf, size_t len, const char** method,
                       size_t* method_len, const char** path, size_t* path_len,
-                      int* minor_version, phr_header* headers,
+                      int* minor_version, PhrHeader* headers,
                       size_t* num_headers, size_t last_len);
 ssize_t phr_decode_chunked(void* decoder, char* buf, size_t* bufsz);
 }
@@ -44,7 +44,8 @@
 
 /// @return true if a list separated by commas contains a word, in any case.
 bool ListContains(std::string_view list, std::string_view word) {
-  const std::string text = ToLower(list);
+  const std::string lower = ToLower(list);
+  const std::string_view text = lower;
   size_t begin = 0;
   while (begin <= text.size()) {
     const size_t end = std::min(text.find(',', begin), text.size());
@@ -53,7 +54,7 @@
     while (first < last && (text[first] == ' ' || text[first] == '\t')) ++first;
     while (last > first && (text[last - 1] == ' ' || text[last - 1] == '\t'))
       --last;
-    if (std::string_view(text).substr(first, last - first) == word) return true;
+    if (text.substr(first, last - first) == word) return true;
     begin = end + 1;
   }
   return false;
@@ -126,7 +127,7 @@
   size_t method_size = 0;
   size_t path_size = 0;
   int minor_version = 0;
-  std::array<phr_header, kMaxHeaders> headers;  // NOLINT: set by the parser
+  std::array<PhrHeader, kMaxHeaders> headers;  // NOLINT: set by the parser
   size_t n = kMaxHeaders;
   const int size = phr_parse_request(
       bytes.data(), bytes.size(), &method, &method_size, &path, &path_size,
--- a/tests/wire/http1_request_test.cc
+++ b/tests/wire/http1_request_test.cc
@@ -64,7 +64,7 @@
 }
 
 /// @return the decoded body of chunked text that arrives in pieces.
-Http1Body::Status Decode(const std::string& text, size_t piece, size_t max,
+Http1Body::Status Decode(std::string_view text, size_t piece, size_t max,
                          std::string& out, size_t& rest) {
   Http1Head head;
   head.chunked = true;
@@ -73,7 +73,7 @@
   size_t at = 0;
   while (at < text.size() && status == Http1Body::Status::kPartial) {
     size_t consumed = 0;
-    status = body.Append(std::string_view(text).substr(at, piece), consumed);
+    status = body.Append(text.substr(at, piece), consumed);
     at += consumed;
   }
   rest = text.size() - at;
