Runs leave slow VMs for any VM of usual speed with room

Short tasks stood still for up to 10 s. Change: runs leave if they end 1.5 times sooner elsewhere, moves and waits included; without a checkpoint, 3 times sooner, which applies to VMs where tasks stand still. Room is reserved for all that leave in one search.

--- a/source/sched/detail.h
+++ b/source/sched/detail.h
@@ -35,11 +35,6 @@
 bool MayDisrupt(const ShardState& shard, MonotonicTime now, const TaskKey& key,
                 const StepSpec& step);
 
-/// @return true if another VM could run a filler at nearly full speed.
-bool CanRunElsewhere(const ShardState& shard, MonotonicTime now,
-                     const VmEntity& here, const TaskKey& key,
-                     const StepSpec& step);
-
 /// Estimates the speeds of the VMs from the evidence since the last update.
 void UpdateVmSpeeds(ShardState& shard, MonotonicTime now, Decisions& log);
 
--- a/source/sched/leave_slow.cc
+++ b/source/sched/leave_slow.cc
@@ -22,13 +22,17 @@
 /// that rely on the same room.
 constexpr Duration kLeaveInterval{250};
 constexpr size_t kMaxLasting = 3;
-constexpr size_t kMaxOthers = 6;
+constexpr size_t kMaxOthers = 16;
 /// How long a task stays where it was placed after it has left a slow VM.
 constexpr Duration kMinStay{10'000};
-/// Time to stop a run, to place it and to restore it from its checkpoint.
+/// Time to stop a run, to place its task, which may wait for a while, and to
+/// restore it from its checkpoint.
 constexpr Duration kMoveTime{1'000};
-/// A run moves if it would take this many times as long here.
-constexpr int64_t kMoveGain = 2;
+constexpr Duration kMoveTimeOfFiller{2'500};
+/// A run moves if it would take this many times as long here. One without
+/// checkpoints loses its work, and leaves for a larger gain only.
+constexpr double kMoveGain = 1.5;
+constexpr double kMoveGainWithoutCheckpoint = 3;
 /// A lasting task below this percentage does not do its work.
 constexpr int64_t kAvailablePercent = 100;
 /// Share by which the room of tasks that do not last exceeds what they use now.
@@ -44,32 +48,35 @@
 
 bool IsUsual(const ShardState& shard, MonotonicTime now, const VmEntity& vm) {
   return AcceptsTasks(shard, vm, now) && HasReportedRecently(vm, now) &&
-         !MayBeSlow(vm) && vm.set_aside_until <= now &&
-         vm.avoided_until <= now && vm.reserved_for_suspects_until <= now &&
-         !vm.has_former_lease;
+         !MayBeSlow(vm);
 }
 
-/// Takes room of a lasting task.
+/// Reserves room for a task on one of the VMs.
 /// @return false if there is none.
-bool TakeRoom(UsualVms& usual, const VmEntity& here, const StepSpec& step,
-              const TaskKey& key) {
+bool TakeRoom(const ShardState& shard, UsualVms& usual, const VmEntity& here,
+              const StepSpec& step, const TaskKey& key) {
   int64_t& spare = usual.spare_cpu[here.worker.service];
-  if (spare < step.each.cpu.value) return false;
+  if (step.lasting && spare < step.each.cpu.value) return false;
   QueueTerms terms;
   terms.service = here.worker.service;
   const auto it = std::find_if(
       usual.vms.begin(), usual.vms.end(), [&](const CandidateVm& vm) {
-        return HasRoom(vm, terms, step) && IsOpenToTask(vm, step, key);
+        return IsOpenToInnocent(vm) && HasRoom(vm, terms, step) &&
+               IsOpenToTask(vm, step, key);
       });
   if (it == usual.vms.end()) return false;
-  it->free -= step.each;
-  spare -= step.each.cpu.value;
+  Reserve(shard, *it, step);
+  if (step.lasting) spare -= step.each.cpu.value;
   return true;
 }
 
 UsualVms ListUsualVms(ShardState& shard, MonotonicTime now) {
   UsualVms out;
-  for (auto& [id, vm] : shard.vms) {
+  out.vms = ListCandidateVms(shard, now, ListSuspectTests(shard, now));
+  std::erase_if(out.vms, [&](const CandidateVm& it) {
+    return it.unreliable || !IsUsual(shard, now, *it.vm);
+  });
+  for (const auto& [id, vm] : shard.vms) {
     const bool is_usual = IsUsual(shard, now, vm);
     int64_t& spare = out.spare_cpu[vm.worker.service];
     if (is_usual) spare += vm.worker.capacity.cpu.value;
@@ -83,10 +90,6 @@
                                       kRoomForOthers);
       }
     }
-    if (!is_usual) continue;
-    CandidateVm& usual = out.vms.emplace_back();
-    usual.vm = &vm;
-    usual.free = vm.worker.capacity - ReservedCapacity(vm);
   }
   // Room that tasks which have left already are about to take.
   std::erase_if(shard.leaving_slow, [&](const TaskKey& key) {
@@ -95,7 +98,7 @@
     if (task == nullptr || step == nullptr) return true;
     if (IsFinal(shard.jobs.at(key.job).state)) return true;
     const auto from = shard.vms.find(task->last_vm);
-    if (from != shard.vms.end()) TakeRoom(out, from->second, *step, key);
+    if (from != shard.vms.end()) TakeRoom(shard, out, from->second, *step, key);
     return false;
   });
   return out;
@@ -126,15 +129,19 @@
 }
 
 /// @return true if a run ends so much sooner elsewhere that stopping it pays.
-bool PaysToMove(const ShardState& shard, MonotonicTime now, const VmEntity& vm,
+bool PaysToMove(const ShardState& shard, MonotonicTime now,
                 const StepSpec& step, const TaskKey& key, const VmRun& run,
                 Duration remaining) {
-  const JobEntity& job = shard.jobs.at(key.job);
   constexpr int64_t kAll = 100;
-  const Duration rest = EstimateRunTime(shard, now, job, key.step).typical *
-                        std::clamp<int64_t>(kAll - run.percent, 0, kAll) / kAll;
-  return remaining > (rest + kMoveTime) * kMoveGain &&
-         CanRunElsewhere(shard, now, vm, key, step);
+  const Duration all =
+      EstimateRunTime(shard, now, shard.jobs.at(key.job), key.step).typical;
+  const int64_t saved = step.checkpoints ? run.percent : 0;
+  const Duration there =
+      all * std::clamp<int64_t>(kAll - saved, 0, kAll) / kAll +
+      (step.filler ? kMoveTimeOfFiller : kMoveTime);
+  const double gain = static_cast<double>(remaining.count()) /
+                      static_cast<double>(there.count());
+  return gain > (step.checkpoints ? kMoveGain : kMoveGainWithoutCheckpoint);
 }
 
 /// A run that may leave its VM.
@@ -166,7 +173,6 @@
       const bool stays = task->left_slow_vm_at != MonotonicTime{} &&
                          now - task->left_slow_vm_at < kMinStay;
       if (stays || shard.suspects.contains(key)) continue;
-      if (!step->lasting && !step->checkpoints) continue;
       const Duration remaining =
           step->lasting ? Duration(0)
                         : ExpectedRemainingTime(
@@ -191,22 +197,20 @@
   if (runs.empty()) return;
   UsualVms usual = ListUsualVms(shard, now);
   size_t lasting = 0;
-  // Searches for a VM take time even if they find none.
   size_t others = 0;
   for (const LeavingRun& it : runs) {
     if (it.step->lasting) {
       if (lasting >= kMaxLasting || !IsImpaired(*it.run)) continue;
       if (!MayDisrupt(shard, now, it.key, *it.step)) continue;
-      if (!TakeRoom(usual, *it.vm, *it.step, it.key)) continue;
+      if (!TakeRoom(shard, usual, *it.vm, *it.step, it.key)) continue;
       ++lasting;
       shard.leaving_slow.insert(it.key);
     } else {
       if (others >= kMaxOthers) continue;
-      ++others;
-      if (!PaysToMove(shard, now, *it.vm, *it.step, it.key, *it.run,
-                      it.remaining)) {
+      if (!PaysToMove(shard, now, *it.step, it.key, *it.run, it.remaining))
         continue;
-      }
+      if (!TakeRoom(shard, usual, *it.vm, *it.step, it.key)) continue;
+      ++others;
     }
     Stop(shard, now, *it.vm, it.key, *it.run, *it.task, it.remaining, log);
   }
--- a/source/sched/pace.cc
+++ b/source/sched/pace.cc
@@ -90,6 +90,7 @@
   }
 }
 
+/// @return true if another VM could run a paused filler at nearly full speed.
 bool CanRunElsewhere(const ShardState& shard, MonotonicTime now,
                      const VmEntity& here, const TaskKey& key,
                      const StepSpec& step) {
--- a/tests/sched/uneven_vms_test.cc
+++ b/tests/sched/uneven_vms_test.cc
@@ -351,18 +351,24 @@
   CHECK(CountMoves(fleet) == 0);
 }
 
-TEST_CASE("runs leave a slow VM if they resume elsewhere and end sooner") {
-  for (const bool checkpoints : {true, false}) {
+TEST_CASE("runs leave a slow VM if they end much sooner elsewhere") {
+  struct Case {
+    bool checkpoints;
+    double speed;
+    bool moves;
+  };
+  for (const Case it : {Case{true, 1.0 / 6, true}, Case{true, 0.45, false},
+                        Case{false, 1.0 / 3, false}, Case{false, 0, true}}) {
     Fleet fleet;
     fleet.task_ms = 5'000;
-    AddVms(fleet, 4, 4'000);
+    AddVms(fleet, 4, 8'000);
     StepSpec step = Filler(12, 1'000);
-    step.checkpoints = checkpoints;
+    step.checkpoints = it.checkpoints;
     Submit(fleet, "batch", step);
-    Advance(fleet, 1'000);
-    fleet.speeds = {{VmId("vm-1"), 1.0 / 8}};
+    Advance(fleet, 1'500);
+    fleet.speeds = {{VmId("vm-1"), it.speed}};
     Advance(fleet, 4'000);
-    CHECK((CountMoves(fleet) > 0) == checkpoints);
+    CHECK((CountMoves(fleet) > 0) == it.moves);
   }
 }
 
