--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -301,6 +301,14 @@
        "starts nothing more, or that it no longer is"},
       {Event::kEvacuationRowIgnored, "evacuations.row_ignored", kPlanning,
        kWarning, "an evacuation request names no data centre and is ignored"},
+      {Event::kVmSlow, "vm.slow", kPlanning, kWarning,
+       "tasks prefer other VMs: runs on this one progress slowly compared with "
+       "others of their steps, or its serving tasks with others of their jobs"},
+      {Event::kVmUsualSpeed, "vm.usual_speed", kPlanning, kInfo,
+       "a VM is no longer held slow, with the reason; age is how long it was"},
+      {Event::kRunLeftSlowVm, "run.left_slow_vm", kPlanning, kInfo,
+       "a run on a slow VM is stopped so that it can resume elsewhere; age is "
+       "how long it would have taken there"},
       {Event::kJobRejectedLate, "job.rejected_late", kPlanning, kInfo,
        "a job was rejected because it surely ends too late to be of value; "
        "needed is the least time until it ends, left the time in which it is "
@@ -325,14 +333,6 @@
        "the other one ended"},
       {Event::kCopyAdopted, "copy.adopted", kPlanning, kInfo,
        "a second run of a task that this planner did not start is kept"},
-      {Event::kVmSlow, "vm.slow", kPlanning, kWarning,
-       "tasks prefer other VMs: runs on this one progress slowly compared with "
-       "others of their steps, or its serving tasks with others of their jobs"},
-      {Event::kVmUsualSpeed, "vm.usual_speed", kPlanning, kInfo,
-       "a VM is no longer held slow, with the reason; age is how long it was"},
-      {Event::kRunLeftSlowVm, "run.left_slow_vm", kPlanning, kInfo,
-       "a run on a slow VM is stopped so that it can resume elsewhere; age is "
-       "how long it would have taken there"},
       {Event::kVmListed, "vm.listed", kPlanning, kInfo,
        "an agent's row was read"},
       {Event::kVmSynced, "vm.synced", kPlanning, kInfo,
