Count what follows a request being served, and keep room for the smallest

Cause: by reading: up to 64 KiB that followed a request on its connection were held without being counted; header fields of a byte or two on HTTP/2 counted for less than they take; many complete requests of 64 KiB that wait for their answers could use up all the room. Change: what follows is charged, and dropped with the connection closed after the answer if there is no room; a field counts 32 bytes besides its text (RFC 9113) and a session 16 KiB; requests over 20 KiB leave the last eighth of the room. Measured: wire_test passes with two tests more.

--- a/source/wire/http1_connection.cc
+++ b/source/wire/http1_connection.cc
@@ -107,6 +107,8 @@
   std::shared_ptr<Http1Exchange> exchange_;
   size_t discarded_bytes_ = 0;
   bool processing_ = false;
+  /// Input that followed the request being served had no room.
+  bool drops_input_ = false;
   bool keep_alive_ = false;
   bool sends_chunks_ = false;
   bool sends_body_ = false;
@@ -179,7 +181,15 @@
   }
   processing_ = false;
   if (connection_.closed() || phase_ == Phase::kDiscarding) return;
-  if (!rest.empty()) input_ = rest;
+  if (rest.empty()) return;
+  input_ = rest;
+  if (phase_ != Phase::kServing ||
+      account_.Hold(account_.bytes() + input_.size(), now()))
+    return;
+  // The requests that follow are dropped; the caller sees that the connection
+  // closes after the answer to the first one.
+  input_ = {};
+  drops_input_ = true;
 }
 
 /// @return true if there is more to process.
@@ -281,7 +291,7 @@
   const bool has_body = status != kNoContent && status != kNotModified;
   sends_body_ = has_body && !head_only;
   sends_chunks_ = sends_body_ && length == nullptr && !head_.http10;
-  keep_alive_ = head_.keep_alive && !server_.shut_down &&
+  keep_alive_ = head_.keep_alive && !drops_input_ && !server_.shut_down &&
                 (!sends_body_ || length != nullptr || sends_chunks_);
   constexpr size_t kHeadBytes = 256;
   std::string out;
@@ -374,6 +384,7 @@
     account_.Hold(0, since_);
     return connection_.RunLater([this] { connection_.Close(); });
   }
+  if (drops_input_) return connection_.Close();
   account_.Hold(kConnectionBytes + input_.size(), since_);
   if (processing_) return;
   if (input_.empty()) return connection_.ResumeReading();
--- a/source/wire/http2_connection.cc
+++ b/source/wire/http2_connection.cc
@@ -20,6 +20,10 @@
 constexpr size_t kWriteBatchBytes = 64 << 10;
 /// A growing body is charged in steps of this size.
 constexpr size_t kBodyStepBytes = 16 << 10;
+/// What a header field counts besides its text (RFC 9113, section 6.5.2).
+constexpr size_t kFieldBytes = 32;
+/// State of a session, with its table of header fields.
+constexpr size_t kSessionBytes = 16 << 10;
 constexpr int kContentTooLarge = 413;
 
 class Http2Protocol;
@@ -203,7 +207,7 @@
                           std::size(settings));
   nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0,
                                         kConnectionWindowBytes);
-  account_.Hold(kConnectionBytes, idle_since_);
+  account_.Hold(kConnectionBytes + kSessionBytes, idle_since_);
 }
 
 void Http2Protocol::HandleInput(std::string_view bytes) {
@@ -262,7 +266,7 @@
   Http2Exchange* exchange = self->Find(frame->hd.stream_id);
   if (exchange == nullptr || exchange->dispatched_ || exchange->refused_)
     return 0;
-  exchange->head_bytes_ += name_size + value_size;
+  exchange->head_bytes_ += name_size + value_size + kFieldBytes;
   if (exchange->head_bytes_ > self->server_.limits.max_head) {
     self->Refuse(*exchange, IntakeEvent::kHeadTooLarge);
     return 0;
--- a/source/wire/intake_budget.cc
+++ b/source/wire/intake_budget.cc
@@ -41,11 +41,17 @@
   return oldest;
 }
 
+/// @return the bytes that all requests may hold with one of the given size.
+size_t IntakeBudget::RoomFor(size_t bytes) const {
+  const size_t room = limits_.max_bytes;
+  if (bytes <= kOrdinaryBytes) return room;
+  return bytes <= kSmallBytes ? room - room / 8 : room - room / 4;
+}
+
 bool IntakeBudget::MakeRoom(IntakeAccount& account, size_t bytes,
                             MonotonicTime now) {
   const bool small = bytes <= kSmallBytes;
-  const size_t limit =
-      small ? limits_.max_bytes : limits_.max_bytes - limits_.max_bytes / 4;
+  const size_t limit = RoomFor(bytes);
   const size_t more = bytes - account.bytes_;
   while (bytes_ + more > limit) {
     IntakeAccount* victim = FindVictim(account, small, now);
--- a/source/wire/intake_budget.h
+++ b/source/wire/intake_budget.h
@@ -55,13 +55,16 @@
 /// takes the place of the large one that has made no progress for longest. A
 /// large request takes only the place of stalled ones, and never the last
 /// quarter of the room; otherwise it is refused before its body is read, so
-/// that those before it can be completed.
+/// that those before it can be completed. The last eighth of the room is for
+/// the smallest requests, while many others wait for their answers.
 class IntakeBudget {
  public:
   explicit IntakeBudget(IntakeLimits limits) : limits_(limits) {}
   IntakeBudget(const IntakeBudget&) = delete;
   IntakeBudget& operator=(const IntakeBudget&) = delete;
 
+  /// Requests of at most this size may use all the room.
+  static constexpr size_t kOrdinaryBytes = 20 << 10;
   /// Requests of at most this size are small.
   static constexpr size_t kSmallBytes = 64 << 10;
   /// A request that arrives has stalled if it made no progress for this time.
@@ -81,6 +84,7 @@
  private:
   friend class IntakeAccount;
 
+  size_t RoomFor(size_t bytes) const;
   bool MakeRoom(IntakeAccount& account, size_t bytes, MonotonicTime now);
   IntakeAccount* FindVictim(const IntakeAccount& account, bool small,
                             MonotonicTime now);
--- a/tests/wire/http_server_test.cc
+++ b/tests/wire/http_server_test.cc
@@ -213,6 +213,19 @@
   CHECK(fixture.limits.budget->bytes() == 0);
 }
 
+TEST_CASE("requests that follow one being served are dropped without room") {
+  Fixture fixture;
+  fixture.limits.budget = std::make_shared<IntakeBudget>(IntakeLimits{20'000});
+  const std::string out = fixture.Talk(
+      {"GET /late HTTP/1.1\r\n\r\nPOST /a HTTP/1.1\r\nContent-Length: "
+       "18000\r\n\r\n" +
+       std::string(18'000, 'x')});
+  CHECK(fixture.requests.size() == 1);
+  CHECK(Count(out, "HTTP/1.1 200 ") == 1);
+  CHECK(Count(out, "connection: close") == 1);
+  CHECK(fixture.limits.budget->bytes() == 0);
+}
+
 TEST_CASE("requests in progress are answered after a shutdown") {
   Fixture fixture;
   fixture.shutdown_after = Duration(40);
--- a/tests/wire/intake_budget_test.cc
+++ b/tests/wire/intake_budget_test.cc
@@ -64,6 +64,17 @@
   CHECK(fixture.evictions() == 0);
 }
 
+TEST_CASE("ordinary requests have room while many others wait for answers") {
+  Fixture fixture;
+  while (fixture.Arrive(IntakeBudget::kSmallBytes))
+    fixture.requests.back()->account.EndArrival();
+  constexpr size_t kRequests = kRoom / 8 / IntakeBudget::kOrdinaryBytes;
+  for (size_t i = 0; i < kRequests; ++i) {
+    CHECK(fixture.Arrive(IntakeBudget::kOrdinaryBytes));
+    fixture.requests.back()->account.EndArrival();
+  }
+}
+
 TEST_CASE("a small request takes the place of the large one that is slowest") {
   Fixture fixture;
   for (int i = 0; i < 3; ++i) CHECK(fixture.Arrive(kLarge));
