Fillers neither start nor stay where a slow VM keeps them paused

Cause: on a slow VM, serving tasks miss their target all the while, so that all fillers beside them are paused. Change: a paused filler on a slow VM leaves as soon as a VM of usual speed has room, and no filler starts on a slow VM with a serving task over its target. Rank computes the learnt objective once.

--- a/source/sched/choice.cc
+++ b/source/sched/choice.cc
@@ -45,6 +45,13 @@
   return now - task.since < std::min(Duration(cost), kMaxWaitForSpeed);
 }
 
+/// @return true if a filler on a slow VM would be paused at once.
+bool MissesTarget(const VmEntity& vm) {
+  return std::any_of(vm.runs.begin(), vm.runs.end(), [](const auto& it) {
+    return it.second.over_target_since != MonotonicTime{};
+  });
+}
+
 /// @return the score of a VM for a task, where higher is better; kUnsuitable if
 /// the task should wait instead.
 double Score(const ShardState& shard, MonotonicTime now, CandidateVm& candidate,
@@ -134,7 +141,8 @@
       if (HasEarlierRun(candidate, key)) out.others_may_fit = true;
       continue;
     }
-    if (candidate.speed < 1 && waits_for_speed) {
+    if (candidate.speed < 1 &&
+        (waits_for_speed || (step.filler && MissesTarget(*candidate.vm)))) {
       ruled_out_by_speed = true;
       continue;
     }
--- a/source/sched/leave_slow.cc
+++ b/source/sched/leave_slow.cc
@@ -33,6 +33,9 @@
 /// checkpoints loses its work, and leaves for a larger gain only.
 constexpr double kMoveGain = 1.5;
 constexpr double kMoveGainWithoutCheckpoint = 3;
+/// Fillers are paused beside serving tasks that miss their target, which on a
+/// slow VM may last for as long as it is slow.
+constexpr Duration kRemainingWhilePaused{20'000};
 /// A lasting task below this percentage does not do its work.
 constexpr int64_t kAvailablePercent = 100;
 /// Share by which the room of tasks that do not last exceeds what they use now.
@@ -144,6 +147,15 @@
   return gain > (step.checkpoints ? kMoveGain : kMoveGainWithoutCheckpoint);
 }
 
+/// @return the expected time until a run ends on its slow VM.
+Duration RemainingTime(const ShardState& shard, MonotonicTime now,
+                       const VmEntity& vm, const TaskKey& key,
+                       const VmRun& run) {
+  if (run.speed_limit_wanted == 0) return kRemainingWhilePaused;
+  return ExpectedRemainingTime(shard, now, vm, shard.jobs.at(key.job), key,
+                               run);
+}
+
 /// A run that may leave its VM.
 struct LeavingRun {
   VmEntity* vm = nullptr;
@@ -174,9 +186,7 @@
                          now - task->left_slow_vm_at < kMinStay;
       if (stays || shard.suspects.contains(key)) continue;
       const Duration remaining =
-          step->lasting ? Duration(0)
-                        : ExpectedRemainingTime(
-                              shard, now, vm, shard.jobs.at(key.job), key, run);
+          step->lasting ? Duration(0) : RemainingTime(shard, now, vm, key, run);
       out.push_back({&vm, key, &run, step, task, remaining});
     }
   }
--- a/source/sched/rank.cc
+++ b/source/sched/rank.cc
@@ -84,13 +84,13 @@
 }
 
 Outlook OutlookOf(const ShardState& shard, const JobEntity& job,
-                  const OccurrenceEntity& occurrence, MonotonicTime now) {
+                  const OccurrenceEntity& occurrence, Duration objective,
+                  MonotonicTime now) {
   // The value of lasting tasks is the time that they run, whenever that is.
   const auto& steps = job.record.spec.steps;
   const bool lasting = std::any_of(steps.begin(), steps.end(),
                                    [](const auto& it) { return it.lasting; });
   if (lasting) return Outlook::kOnTime;
-  const Duration objective = ObjectiveOf(shard, job, now);
   const MonotonicTime late_at = occurrence.due_at + objective;
   if (now > occurrence.due_at + objective * kNoValueAfterObjectives) {
     return Outlook::kTooLate;
@@ -106,9 +106,10 @@
                const OccurrenceEntity& occurrence, MonotonicTime now) {
   JobRank out;
   out.priority = job.terms.priority;
-  out.outlook = OutlookOf(shard, job, occurrence, now);
+  const Duration objective = ObjectiveOf(shard, job, now);
+  out.outlook = OutlookOf(shard, job, occurrence, objective, now);
   out.work_left = WorkLeft(shard, job, occurrence, now);
-  out.late_at = occurrence.due_at + ObjectiveOf(shard, job, now);
+  out.late_at = occurrence.due_at + objective;
   return out;
 }
 
--- a/tests/sched/uneven_vms_test.cc
+++ b/tests/sched/uneven_vms_test.cc
@@ -372,5 +372,35 @@
   }
 }
 
+// Fillers beside serving tasks that missed their target because of the VM were
+// paused for as long as it was slow.
+TEST_CASE("fillers leave a slow VM that pauses them, and none starts there") {
+  Fleet fleet;
+  fleet.task_ms = 3'000;
+  AddVms(fleet, 2);
+  StepSpec serving = Serving(2, 2'000);
+  serving.max_per_vm = 1;
+  serving.disruption_limit = 0;
+  Submit(fleet, "web", serving);
+  Submit(fleet, "batch", Filler(4, 1'000));
+  Advance(fleet, 750);
+  VmEntity& slow = fleet.shard.vms.at(VmId("vm-1"));
+  REQUIRE(slow.runs.size() == 3);
+  fleet.now += Duration(kReportMs);
+  slow.speed = {};
+  slow.speed.slow = true;
+  slow.speed.log_speed = std::log(0.45);
+  slow.speed.evidence_at = fleet.now;
+  for (auto& [key, run] : slow.runs) {
+    run.over_target_since = fleet.now;
+    run.speed_limit_wanted = run.filler ? 0 : 100;
+  }
+  StopRunsToMove(fleet.shard, fleet.now, fleet.log);
+  CHECK(CountMoves(fleet) == 2);
+  Submit(fleet, "late", Filler(4, 4'000));
+  Place(fleet.shard, fleet.now + Duration(9'000));
+  for (const auto& [key, run] : slow.runs) CHECK(key.job != JobId("late"));
+}
+
 }  // namespace
 }  // namespace almondtally::sched
