Copies: when silent runs are stuck, and where copies go

Cause: with learnt run times the longest usual time includes runs on slow VMs, so that a run on a hanging VM counted as stuck only after ten times a usual run; and the VM with the least free CPU, which copies preferred among equals, is often a slow one where runs have piled up. Change: twice the typical time; the VM with the most free CPU.

--- a/source/sched/copies.cc
+++ b/source/sched/copies.cc
@@ -20,6 +20,9 @@
 constexpr Duration kScanInterval{100};
 /// A run must have been at work for this long before its end is estimated.
 constexpr Duration kMinRunAge{300};
+/// A run of a silent VM is stuck after this many times the typical run time.
+/// The longest usual times include runs on slow VMs.
+constexpr int64_t kStuckFactor = 2;
 /// A start that a silent VM has not confirmed after this time is stuck.
 constexpr Duration kMaxStartTime{1'000};
 /// A copy must be expected to save this much, beside half of a fresh run.
@@ -71,9 +74,10 @@
       run.phase == RunPhase::kRunning && run.running_since != MonotonicTime{};
   const Duration age = now - (is_running ? run.running_since : task.since);
   if (IsSilent(vm, now)) {
-    const Duration limit = is_running
-                               ? EstimateRunTime(shard, now, job, key.step).high
-                               : kMaxStartTime;
+    const Duration limit =
+        is_running
+            ? kStuckFactor * EstimateRunTime(shard, now, job, key.step).typical
+            : kMaxStartTime;
     return age > limit ? Duration::max() : Duration(0);
   }
   if (!is_running || age < kMinRunAge) return Duration(0);
@@ -222,9 +226,10 @@
     double factor = 1;
     if (vm.data_centre == slow.vm->data_centre) factor += kSamePlacePenalty;
     if (vm.worker.rack == slow.vm->worker.rack) factor += kSamePlacePenalty;
-    // Among equals the VM with the least free CPU, as for other tasks.
+    // Among equals the VM with the most free CPU: runs pile up on a slow one
+    // before its speed is known.
     const std::pair cost(static_cast<double>(fresh.count()) * factor,
-                         candidate.free.cpu.value);
+                         -candidate.free.cpu.value);
     if (out.candidate != nullptr && cost >= least) continue;
     out = {&candidate, fresh};
     least = cost;
