Bound the wait of fillers under load by the slack of their job

Also fixed in this change: the limit of admission follows the objective by which jobs are ranked.

Without it, as before.

--- a/source/sched/admission.cc
+++ b/source/sched/admission.cc
@@ -356,7 +356,9 @@
   const bool is_back = earlier != state.rejected.end();
   if (is_back) out.first_seen_at = earlier->second.first_seen_at;
 
-  const double size = RankOf(shard, job, job.occurrences.at(0), now).work_left;
+  const OccurrenceEntity& occurrence = job.occurrences.at(0);
+  const JobRank rank = RankOf(shard, job, occurrence, now);
+  const double size = rank.work_left;
   QueueAdmission& queue = state.queues[spec.queue];
   Decay(queue, now);
   const bool is_large = IsLarge(queue, size);
@@ -365,7 +367,8 @@
   if (!is_back) wait += WorkDueBack(state, now, job.terms.service, wait);
   out.needed =
       wait + std::max(ShortestPath(shard, now, job), out.room.own_work);
-  out.left = out.first_seen_at + job.objective * kNoValueAfterObjectives - now;
+  const Duration objective = rank.late_at - occurrence.due_at;
+  out.left = out.first_seen_at + objective * kNoValueAfterObjectives - now;
 
   const double limit =
       static_cast<double>(std::max<int64_t>(1, out.left.count()));
--- a/source/sched/choice.cc
+++ b/source/sched/choice.cc
@@ -12,10 +12,6 @@
 namespace almondtally::sched {
 namespace {
 
-/// Longest wait of a filler for a VM without interference; after that, slow
-/// progress is better than none. Callers are guaranteed a start within 3 s
-/// while most of the capacity is free.
-constexpr Duration kMaxFillerWait{2'300};
 /// Exceeds the differences in free CPU, so that a VM that refuses starts is not
 /// chosen each time.
 constexpr double kLastVmPenalty = 1.5;
@@ -24,10 +20,12 @@
 constexpr double kUnreliableVmPenalty = 32;
 constexpr double kUnsuitable = std::numeric_limits<double>::lowest();
 
+/// @param may_wait the task may wait for a VM whose serving tasks it would not
+/// disturb.
 /// @return the score of a VM for a task, where higher is better; kUnsuitable if
 /// the task should wait instead.
-double Score(const ShardState& shard, MonotonicTime now, CandidateVm& candidate,
-             const StepSpec& step, const TaskEntity& task) {
+double Score(const ShardState& shard, CandidateVm& candidate,
+             const StepSpec& step, const TaskEntity& task, bool may_wait) {
   const auto capacity = static_cast<double>(
       std::max<int64_t>(1, candidate.vm->worker.capacity.cpu.value));
   const auto unused_cpu =
@@ -40,7 +38,6 @@
     const double share = std::min(
         SpeedOnIdleCpu(candidate, step),
         AllowedFillerSpeed(shard, *candidate.vm, step, *candidate.serving));
-    const bool may_wait = now - task.since < kMaxFillerWait;
     if (share < kMinFillerSpeed && may_wait) return kUnsuitable;
     // Prefer the highest speed, then the VM with the most idle CPU.
     score = 4 * share + score;
@@ -90,7 +87,7 @@
                   PlacementPass& pass, const QueueTerms& terms,
                   const StepSpec& step, const TaskKey& key,
                   const TaskEntity& task) {
-  const bool may_wait = now - task.since < kMaxFillerWait;
+  const bool may_wait = now - task.since < pass.max_filler_wait;
   VmChoice out;
   // Fillers of one step may differ in how long they may still wait.
   out.others_may_fit = step.filler && may_wait;
@@ -106,7 +103,7 @@
       if (HasEarlierRun(candidate, key)) out.others_may_fit = true;
       continue;
     }
-    const double score = Score(shard, now, candidate, step, task);
+    const double score = Score(shard, candidate, step, task, may_wait);
     if (score == kUnsuitable) ruled_out_by_serving = true;
     if (score <= best_score) continue;
     out.vm = &candidate;
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "sched/filler_wait.h"
 #include "sched/ownership.h"
 #include "sched/placement_pass.h"
 
@@ -68,6 +69,9 @@
                          .steps[ready_step.step];
   TaskKey key{ready_step.job->record.spec.id, ready_step.occurrence,
               ready_step.step, 0};
+  pass.max_filler_wait = MaxFillerWait(
+      shard, now, *ready_step.job,
+      ready_step.job->occurrences.at(ready_step.occurrence), ready_step.rank);
   const bool has_suspect = HasSuspect(shard, key);
   // The tasks of a step are alike, and its job cannot end before the suspect
   // does.
--- a/source/sched/placement_pass.h
+++ b/source/sched/placement_pass.h
@@ -31,6 +31,8 @@
   std::vector<CandidateVm> candidates;
   std::vector<UnmetRequest> unmet;
   std::map<ServiceId, SuspectLimits> suspect_limits;
+  /// Of the step that is being placed; see MaxFillerWait.
+  Duration max_filler_wait{};
 };
 
 /// Result of the search for a VM.
--- a/tests/sched/interference_test.cc
+++ b/tests/sched/interference_test.cc
@@ -251,6 +251,38 @@
   CHECK(vm.runs.count(Key("heavy", 0, 0)) == 1);
 }
 
+// Load pattern: serving tasks on all VMs, and batch jobs that have waited for
+// room for as long as they can afford.
+TEST_CASE("under load, a filler waits only while its job can afford it") {
+  ShardState shard = NewBoard();
+  TrainModel(shard.interference);
+  VmEntity& vm = AddVm(shard, "a", 32'000);
+  AcceptJob(shard, "web", {Serving()});
+  Place(shard);
+  ReportAllRunning(shard, vm);
+  StepSpec heavy = Filler("heavy");
+  heavy.each.cpu = MilliCpu(16'000);
+  JobEntity& job = AcceptJob(shard, "heavy", {heavy});
+  const Duration run_time(heavy.estimate_ms);
+  bool waits = true;
+  SUBCASE("without the feature") { job.objective = run_time; }
+  SUBCASE("with time to spare") {
+    shard.features.admission = true;
+    job.objective = run_time + Duration(5'000);
+  }
+  SUBCASE("without") {
+    shard.features.admission = true;
+    job.objective = run_time;
+    waits = false;
+  }
+  SUBCASE("when it is late anyway") {
+    shard.features.admission = true;
+    job.objective = Duration(0);
+  }
+  Place(shard);
+  CHECK(vm.runs.contains(Key("heavy", 0, 0)) != waits);
+}
+
 TEST_CASE("fillers that exceed the idle CPU wait indefinitely") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a", 8'000);
