--- a/source/sched/choice.cc
+++ b/source/sched/choice.cc
@@ -15,10 +15,6 @@
 namespace almondtally::sched {
 namespace {
 
-/// Longest wait of a filler for a VM without interference; after that, slow
-/// progress is better than none. Callers are guaranteed a start within 3 s
-/// while most of the capacity is free.
-constexpr Duration kMaxFillerWait{2'300};
 /// Exceeds the differences in free CPU, so that a VM that refuses starts is not
 /// chosen each time.
 constexpr double kLastVmPenalty = 1.5;
@@ -52,10 +48,12 @@
   });
 }
 
+/// @param may_wait the task may wait for a VM whose serving tasks it would not
+/// disturb.
 /// @return the score of a VM for a task, where higher is better; kUnsuitable if
 /// the task should wait instead.
-double Score(const ShardState& shard, MonotonicTime now, CandidateVm& candidate,
-             const StepSpec& step, const TaskEntity& task) {
+double Score(const ShardState& shard, CandidateVm& candidate,
+             const StepSpec& step, const TaskEntity& task, bool may_wait) {
   const auto capacity = static_cast<double>(
       std::max<int64_t>(1, candidate.vm->worker.capacity.cpu.value));
   const auto unused_cpu =
@@ -68,7 +66,6 @@
     const double share = std::min(
         SpeedOnIdleCpu(candidate, step),
         AllowedFillerSpeed(shard, *candidate.vm, step, *candidate.serving));
-    const bool may_wait = now - task.since < kMaxFillerWait;
     if (share < kMinFillerSpeed && may_wait) return kUnsuitable;
     // Prefer the highest speed, then the VM with the most idle CPU.
     score = 4 * share + score;
@@ -121,7 +118,7 @@
                   PlacementPass& pass, const QueueTerms& terms,
                   const StepSpec& step, const TaskKey& key,
                   const TaskEntity& task) {
-  const bool may_wait = now - task.since < kMaxFillerWait;
+  const bool may_wait = now - task.since < pass.max_filler_wait;
   VmChoice out;
   const bool waits_for_speed = WaitsForSpeed(shard, now, pass, step, key, task);
   // Tasks of one step may differ in how long they may still wait. One that has
@@ -146,7 +143,7 @@
       ruled_out_by_speed = true;
       continue;
     }
-    const double score = Score(shard, now, candidate, step, task);
+    const double score = Score(shard, candidate, step, task, may_wait);
     if (score == kUnsuitable) ruled_out_by_serving = true;
     if (score <= best_score) continue;
     out.vm = &candidate;
--- a/source/sched/placement_pass.h
+++ b/source/sched/placement_pass.h
@@ -35,6 +35,8 @@
   std::map<ServiceId, SuspectLimits> suspect_limits;
   /// Speed of the fastest of the slow VMs; 0 if no VM is slow.
   double fastest_slow = 0;
+  /// Of the step that is being placed; see MaxFillerWait.
+  Duration max_filler_wait{};
 };
 
 /// Result of the search for a VM.
