Test: a run that is taken back leaves the task to its copy

Cause: evacuation and copies were built side by side; a run that was taken back left the copy without its task.

--- a/tests/sched/evacuation_test.cc
+++ b/tests/sched/evacuation_test.cc
@@ -220,5 +220,30 @@
   CHECK(CountStops(south) == (evacuated ? 0 : 1));
 }
 
+TEST_CASE("a run that is taken back leaves the task to its copy") {
+  ShardState shard = NewBoard();
+  VmEntity& north = AddVmIn(shard, kNorth, "n");
+  StepSpec step = Step(1, 1'000);
+  step.copies_allowed = true;
+  AcceptJob(shard, "job0", {step});
+  Pass(shard);
+  const TaskKey key{JobId("job0"), 0, 0, 0};
+  REQUIRE(north.runs.contains(key));
+  // Another run of the task was reported and kept.
+  VmEntity& south = AddVmIn(shard, kSouth, "s");
+  TaskEntity& task = *FindTask(shard, key);
+  const RunNumber copy(task.run.value + 1);
+  south.runs[key].run = copy;
+  south.runs[key].seen = true;
+  task.copy = TaskCopy{south.id, copy, kNow};
+  AdoptReading(shard.evacuations.reading, Reading(5, {kNorth}));
+  Pass(shard);
+  CHECK_FALSE(north.runs.contains(key));
+  CHECK(task.phase == TaskPhase::kPlaced);
+  CHECK(task.vm == south.id);
+  CHECK(task.run == copy);
+  CHECK_FALSE(task.copy);
+}
+
 }  // namespace
 }  // namespace almondtally::sched
