--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -296,6 +296,10 @@
        "starts nothing more, or that it no longer is"},
       {Event::kEvacuationRowIgnored, "evacuations.row_ignored", kPlanning,
        kWarning, "an evacuation request names no data centre and is ignored"},
+      {Event::kNearWaitEnded, "task.near_wait_ended", kPlanning, kInfo,
+       "a task that waited for a place near its data, or a gang that waited "
+       "for one rack, was placed there or elsewhere; age is how long it "
+       "waited"},
       {Event::kVmListed, "vm.listed", kPlanning, kInfo,
        "an agent's row was read"},
       {Event::kVmSynced, "vm.synced", kPlanning, kInfo,
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -97,6 +97,7 @@
   kEvacuationsOutdated = 9131,
   kVmEvacuated = 9132,
   kEvacuationRowIgnored = 9133,
+  kNearWaitEnded = 9134,
   kVmListed = 9201,
   kVmSynced = 9202,
   kVmLost = 9203,
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -329,6 +329,8 @@
           return Event::kTailOverTarget;
         case Decision::Kind::kWithinTarget:
           return Event::kTailWithinTarget;
+        case Decision::Kind::kNearWait:
+          return Event::kNearWaitEnded;
       }
       return Event::kRunPlaced;
     }();
@@ -369,6 +371,10 @@
   set("jobs", board_.jobs.size());
   set("vms", board_.vms.size());
   set("starts", board_.starts);
+  set("near_waits", board_.near_waits.begun);
+  set("near_waits_won", board_.near_waits.won);
+  set("near_waits_gained_ms", board_.near_waits.gained.count());
+  set("gangs_spread", board_.near_waits.spread_gangs);
   set("proof_age_ms",
       planning_ ? (loop_.now() - board_.ownership_proven_at).count() : -1);
   set("store_failed", store_failed_ ? 1 : 0);
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -84,6 +84,10 @@
       if (!choice.others_may_fit) return;
       continue;
     }
+    if (WaitsForNearPlace(shard, now, ready_step, pass, key, task,
+                          *choice.vm->vm, log)) {
+      continue;
+    }
     Reserve(shard, *choice.vm, spec);
     AssignTask(shard, now, *choice.vm->vm, spec, key, task,
                NextRunNumber(shard, task.run), log);
@@ -143,7 +147,7 @@
   }
   for (const ReadyStep& it : ready_steps) {
     if (it.job->record.spec.steps[it.step].gang) {
-      PlaceGang(shard, now, it, pass.candidates, log);
+      PlaceGang(shard, now, it, pass, log);
     } else {
       PlaceIndependentTasks(shard, now, it, pass, log);
     }
--- a/source/sched/placement_pass.h
+++ b/source/sched/placement_pass.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "sched/candidates.h"
+#include "sched/near_place.h"
 #include "sched/rank.h"
 
 /// What a planning pass works on: the steps that wait, the candidates, and the
@@ -31,6 +32,7 @@
   std::vector<CandidateVm> candidates;
   std::vector<UnmetRequest> unmet;
   std::map<ServiceId, SuspectLimits> suspect_limits;
+  NearPlaces near_places;
 };
 
 /// Result of the search for a VM.
@@ -69,9 +71,27 @@
                    const ReadyStep& ready_step, PlacementPass& pass,
                    Decisions& log);
 
+/// Decides whether a task that could start on a VM waits for a place near its
+/// data instead.
+bool WaitsForNearPlace(ShardState& shard, MonotonicTime now,
+                       const ReadyStep& ready_step, PlacementPass& pass,
+                       const TaskKey& key, TaskEntity& task,
+                       const VmEntity& chosen, Decisions& log);
+/// Decides whether a gang that could start now, spread over racks, waits for
+/// one rack instead.
+/// @param first its first task.
+bool WaitsForOneRack(ShardState& shard, MonotonicTime now,
+                     const ReadyStep& ready_step, PlacementPass& pass,
+                     const TaskKey& key, TaskEntity& first);
+/// Notes that a task, or the first one of a gang, is placed.
+/// @param gained the time that it takes less at its place than elsewhere.
+/// @param near the place is near its data, or the gang is on one rack.
+void EndNearWait(ShardState& shard, MonotonicTime now, const TaskKey& key,
+                 TaskEntity& task, bool near, Duration gained, Decisions& log);
+
 /// Places all tasks of a gang, or none.
 void PlaceGang(ShardState& shard, MonotonicTime now,
-               const ReadyStep& ready_step,
-               std::vector<CandidateVm>& candidates, Decisions& log);
+               const ReadyStep& ready_step, PlacementPass& pass,
+               Decisions& log);
 
 }  // namespace almondtally::sched
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -57,6 +57,9 @@
   /// one; zero while a run is confirmed. For the log only.
   MonotonicTime waiting_since{};
   uint32_t refused_starts = 0;
+  /// Since when the task, or its gang, has waited for a place near its data or
+  /// on one rack although it could start elsewhere; zero if it does not.
+  MonotonicTime near_wait_since{};
   std::string last_refusal;
   /// VMs on which the task failed; placement avoids them.
   std::vector<VmId> failed_on;
@@ -224,6 +227,17 @@
 /// same VM.
 inline constexpr Duration kDefaultTailLimit{4'000};
 
+/// What came of waits for a place near the data, or for one rack.
+struct NearWaits {
+  uint64_t begun = 0;
+  /// Ended at such a place.
+  uint64_t won = 0;
+  /// Time that these gained, as expected.
+  Duration gained{};
+  /// Gangs that were spread over racks instead.
+  uint64_t spread_gangs = 0;
+};
+
 /// In-memory state of the planner of one shard. The functions below operate on
 /// it and do no I/O.
 struct ShardState {
@@ -255,6 +269,7 @@
   /// Load of the jobs that have serving tasks.
   std::map<JobId, JobLoad> loads;
   uint64_t starts = 0;
+  NearWaits near_waits;
   /// Number of the latest progress change, and of the latest one in the store.
   uint64_t change = 0;
   uint64_t recorded_change = 0;
@@ -287,6 +302,7 @@
     kWaiting,
     kOverTarget,
     kWithinTarget,
+    kNearWait,
   };
   Kind kind = Kind::kPlaced;
   TaskKey task;
