--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -301,6 +301,10 @@
        "starts nothing more, or that it no longer is"},
       {Event::kEvacuationRowIgnored, "evacuations.row_ignored", kPlanning,
        kWarning, "an evacuation request names no data centre and is ignored"},
+      {Event::kNearWaitEnded, "task.near_wait_ended", kPlanning, kInfo,
+       "a task that waited for a place near its data, or a gang that waited "
+       "for one rack, was placed there or elsewhere; age is how long it "
+       "waited"},
       {Event::kVmSlow, "vm.slow", kPlanning, kWarning,
        "tasks prefer other VMs: runs on this one progress slowly compared with "
        "others of their steps, or its serving tasks with others of their jobs"},
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -99,6 +99,7 @@
   kEvacuationsOutdated = 9131,
   kVmEvacuated = 9132,
   kEvacuationRowIgnored = 9133,
+  kNearWaitEnded = 9134,
   kVmSlow = 9140,
   kVmUsualSpeed = 9141,
   kRunLeftSlowVm = 9142,
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -398,6 +398,8 @@
           return Event::kVmUsualSpeed;
         case Decision::Kind::kLeftSlowVm:
           return Event::kRunLeftSlowVm;
+        case Decision::Kind::kNearWait:
+          return Event::kNearWaitEnded;
       }
       return Event::kRunPlaced;
     }();
@@ -444,6 +446,10 @@
   set("runs_left_slow_vms", board_.runs_left_slow);
   set("run_time_error", board_.run_time_error);
   set("declared_time_error", board_.declared_time_error);
+  set("near_waits", board_.near_waits.begun);
+  set("near_waits_won", board_.near_waits.won);
+  set("near_waits_gained_ms", board_.near_waits.gained.count());
+  set("gangs_spread", board_.near_waits.spread_gangs);
   set("proof_age_ms",
       planning_ ? (loop_.now() - board_.ownership_proven_at).count() : -1);
   set("store_failed", store_failed_ ? 1 : 0);
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -75,6 +75,9 @@
   /// one; zero while a run is confirmed. For the log only.
   MonotonicTime waiting_since{};
   uint32_t refused_starts = 0;
+  /// Since when the task, or its gang, has waited for a place near its data or
+  /// on one rack although it could start elsewhere; zero if it does not.
+  MonotonicTime near_wait_since{};
   std::string last_refusal;
   /// When a run was last stopped because of its slow VM.
   MonotonicTime left_slow_vm_at{};
@@ -248,6 +251,17 @@
 /// same VM.
 inline constexpr Duration kDefaultTailLimit{4'000};
 
+/// What came of waits for a place near the data, or for one rack.
+struct NearWaits {
+  uint64_t begun = 0;
+  /// Ended at such a place.
+  uint64_t won = 0;
+  /// Time that these gained, as expected.
+  Duration gained{};
+  /// Gangs that were spread over racks instead.
+  uint64_t spread_gangs = 0;
+};
+
 /// In-memory state of the planner of one shard. The functions below operate on
 /// it and do no I/O.
 struct ShardState {
@@ -294,6 +308,7 @@
   /// Number of runs stopped because of a slow VM. For metrics only.
   uint64_t runs_left_slow = 0;
   uint64_t starts = 0;
+  NearWaits near_waits;
   /// Number of the latest progress change, and of the latest one in the store.
   uint64_t change = 0;
   uint64_t recorded_change = 0;
@@ -336,6 +351,7 @@
     kVmSlow,
     kVmUsual,
     kLeftSlowVm,
+    kNearWait,
   };
   Kind kind = Kind::kPlaced;
   TaskKey task;
