One critical path instead of three

Cause: rank, admission and the wait of fillers each had the same loop over the steps. Change: source/sched/critical_path.h; no change in behaviour.

--- a/source/sched/admission.cc
+++ b/source/sched/admission.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "sched/candidates.h"
+#include "sched/critical_path.h"
 #include "sched/expected_end.h"
 #include "sched/ownership.h"
 #include "sched/rank.h"
@@ -221,17 +222,9 @@
 /// @return the critical path by the low estimates.
 Duration ShortestPath(const ShardState& shard, MonotonicTime now,
                       const JobEntity& job) {
-  const auto& steps = job.record.spec.steps;
-  std::vector<Duration> finish(steps.size(), Duration(0));
-  Duration longest{0};
-  for (uint32_t i = 0; i < steps.size(); ++i) {
-    for (const uint32_t before : steps[i].after) {
-      finish[i] = std::max(finish[i], finish[before]);
-    }
-    finish[i] += EstimateRunTime(shard, now, job, i).low;
-    longest = std::max(longest, finish[i]);
-  }
-  return longest;
+  return CriticalPath(job.record.spec, [&](uint32_t step) {
+    return EstimateRunTime(shard, now, job, step).low;
+  });
 }
 
 /// @return true if the job is to wait for its time, or has no end.
--- a/source/sched/filler_wait.cc
+++ b/source/sched/filler_wait.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "sched/critical_path.h"
 #include "sched/run_times.h"
 
 // Load pattern: serving tasks occupy all VMs, so that no VM is free of
@@ -23,19 +24,12 @@
 Duration RemainingPath(const ShardState& shard, MonotonicTime now,
                        const JobEntity& job,
                        const OccurrenceEntity& occurrence) {
-  const auto& steps = job.record.spec.steps;
-  std::vector<Duration> finish(steps.size(), Duration(0));
-  Duration longest{0};
-  for (uint32_t i = 0; i < steps.size(); ++i) {
-    for (const uint32_t before : steps[i].after) {
-      finish[i] = std::max(finish[i], finish[before]);
-    }
-    const StepEntity& step = occurrence.steps[i];
-    if (step.done < step.tasks.size())
-      finish[i] += EstimateRunTime(shard, now, job, i).typical;
-    longest = std::max(longest, finish[i]);
-  }
-  return longest;
+  return CriticalPath(job.record.spec, [&](uint32_t step) {
+    const StepEntity& at = occurrence.steps[step];
+    return at.done < at.tasks.size()
+               ? EstimateRunTime(shard, now, job, step).typical
+               : Duration(0);
+  });
 }
 
 }  // namespace
--- a/source/sched/rank.cc
+++ b/source/sched/rank.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <vector>
 
+#include "sched/critical_path.h"
 #include "sched/run_times.h"
 #include "sched/shard_state.h"
 
@@ -37,22 +38,6 @@
   return sum;
 }
 
-/// @param time_of returns the time that a step takes, by index.
-/// @return the longest chain of steps.
-template <typename TimeFn>
-Duration CriticalPath(const JobSpec& spec, TimeFn time_of) {
-  std::vector<Duration> finish(spec.steps.size(), Duration(0));
-  Duration longest{0};
-  for (uint32_t i = 0; i < spec.steps.size(); ++i) {
-    for (const uint32_t predecessor : spec.steps[i].after) {
-      finish[i] = std::max(finish[i], finish[predecessor]);
-    }
-    finish[i] += time_of(i);
-    longest = std::max(longest, finish[i]);
-  }
-  return longest;
-}
-
 /// @return the critical path through the steps that are not done, if their
 /// tasks are as short as they may be.
 Duration ShortestRemainingPath(const ShardState& shard, const JobEntity& job,
