Simulation: a restarted worker carries out its former process's renewal

Cause: on the platform a call names its worker by the id alone, so that a renewal on its way is carried out by the process that starts next under the id, which takes a lease of up to 10 s from it.

Change: RestartWorker hands the renewal on its way, with its fencing number, to the next process; the agent gets no answer.

--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -206,6 +206,16 @@
   worker = {};
   worker.id = id;
   worker.born_at = now_;
+  // The new process carries out the renewal that was meant for the former one.
+  Agent& agent = *vms_[vm].agent;
+  const auto call = std::exchange(agent.renewal, std::nullopt);
+  if (call) {
+    worker.fencing = call->call.fencing;
+    if (call->call.lease_until_ms > 0)
+      worker.lease_until = LeaseEnd(worker, call->call.lease_until_ms);
+    HandleRenewalFailure(agent.table, agent.loop.now(), *call,
+                         {CallOutcome::kUnknown, "reset"});
+  }
   Announce(vm);
 }
 
--- a/tests/planner/simulated_fleet.h
+++ b/tests/planner/simulated_fleet.h
@@ -83,7 +83,8 @@
   void SetFrozen(const Address& process, bool frozen);
   /// Ends the process of an agent and starts another one; the worker goes on.
   void RestartAgent(size_t vm);
-  /// Ends a worker's process with all its runs and starts another one.
+  /// Ends a worker's process with all its runs and starts another one under
+  /// the same id. The next process carries out the renewal that is on its way.
   void RestartWorker(size_t vm);
 
   /// Decides how a run ends and after which time, or, without a time, that it
