Simulation: links between agents and their workers

Change: SetWorkerLink makes connections fail, loses calls, or has them carried out late by whichever process then has the worker's id, if it accepts them. The agent learns of it after the 250 ms of its client, and renews again 100 ms later. Announcements that are lost come when the link is back. A renewal that is at the worker when the agent restarts still extends its lease. Calls on a link that is up go as before.

--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -24,6 +24,13 @@
 constexpr Duration kPlannerSilence{3'000};
 constexpr Duration kRowCheckInterval{2'000};
 constexpr Duration kRowWriteRetryDelay{300};
+constexpr Duration kRenewRetryDelay{100};
+/// As in the agent's client of its worker.
+constexpr Duration kWorkerCallTimeout{250};
+
+bool PassesAnnouncements(WorkerLink link) {
+  return link == WorkerLink::kUp || link == WorkerLink::kCarriedOutLate;
+}
 
 bool CanRead(StoreLink link) {
   return link == StoreLink::kUp || link == StoreLink::kAppliedLate;
@@ -190,7 +197,20 @@
   }
 }
 
+void SimulatedFleet::SetWorkerLink(size_t vm, WorkerLink link) {
+  const WorkerLink former = std::exchange(vms_[vm].link, link);
+  if (former != WorkerLink::kUp || link == WorkerLink::kUp) return;
+  Agent& agent = *vms_[vm].agent;
+  if (!agent.renewal || agent.renewal_failure) return;
+  // It has reached the worker, which waits for an end.
+  CarryOut(vm, *agent.renewal);
+  agent.renewal_failure = {CallOutcome::kUnknown, "cut"};
+}
+
 void SimulatedFleet::RestartAgent(size_t vm) {
+  const Agent& former = *vms_[vm].agent;
+  if (former.renewal && !former.renewal_failure)
+    vms_[vm].late_calls.push_back({now_, *former.renewal});
   ended_agents_.push_back(std::move(vms_[vm].agent));
   StartAgent(vm);
 }
@@ -208,14 +228,13 @@
   worker.born_at = now_;
   // The new process carries out the renewal that was meant for the former one.
   Agent& agent = *vms_[vm].agent;
-  const auto call = std::exchange(agent.renewal, std::nullopt);
-  if (call) {
-    worker.fencing = call->call.fencing;
-    if (call->call.lease_until_ms > 0)
-      worker.lease_until = LeaseEnd(worker, call->call.lease_until_ms);
-    HandleRenewalFailure(agent.table, agent.loop.now(), *call,
+  if (agent.renewal && !agent.renewal_failure) {
+    const RenewCall call = *std::exchange(agent.renewal, std::nullopt);
+    CarryOut(vm, call);
+    HandleRenewalFailure(agent.table, agent.loop.now(), call,
                          {CallOutcome::kUnknown, "reset"});
   }
+  vms_[vm].announced = false;
   Announce(vm);
 }
 
@@ -360,17 +379,22 @@
   agent->table.life = AgentIncarnation(++last_process_);
   agent->table.started_at = agent->loop.now();
   vms_[vm].agent = std::move(agent);
+  vms_[vm].announced = false;
   Announce(vm);
 }
 
 void SimulatedFleet::Announce(size_t vm) {
+  if (!PassesAnnouncements(vms_[vm].link)) return;
+  vms_[vm].announced = true;
   Agent& agent = *vms_[vm].agent;
   WorkerHello hello;
   hello.worker.id = vms_[vm].worker.id;
   hello.worker.service = kService;
   hello.worker.capacity = {MilliCpu(8'000), Mebibytes(8'000), Accelerators(0)};
   hello.born_ms = vms_[vm].worker.born_at.time_since_epoch().count() + 1;
-  ReceiveWorkerHello(agent.table, agent.loop.now(), hello);
+  if (!ReceiveWorkerHello(agent.table, agent.loop.now(), hello)) return;
+  agent.renewal.reset();
+  agent.renewal_failure.reset();
 }
 
 void SimulatedFleet::EnsureRowIsValid(size_t vm) {
@@ -438,52 +462,103 @@
 void SimulatedFleet::StepAgent(size_t vm) {
   Agent& agent = *vms_[vm].agent;
   const MonotonicTime now = agent.loop.now();
-  for (const StartCall& call : BeginStartCalls(agent.table, now)) {
-    FinishStartCall(agent.table, now, call, StartRun(vm, call));
-  }
-  for (const StopCall& call : BeginStopCalls(agent.table, now)) {
-    Worker& worker = vms_[vm].worker;
-    const bool fenced = call.call.fencing < worker.fencing;
-    const auto it = worker.running.find(call.task);
-    const bool runs = it != worker.running.end() &&
-                      runs_[it->second].run == call.run && !fenced;
-    if (runs) EndRun(worker, it->second, RunEnd::kStopped);
-    if (!runs && !fenced) {
-      RunNumber& ended = worker.ended[call.task];
-      ended = std::max(ended, call.run);
-    }
-    FinishStopCall(agent.table, now, call,
-                   {fenced ? CallOutcome::kFenced : CallOutcome::kOk, ""});
-  }
+  if (!vms_[vm].announced) Announce(vm);
+  TimeOutCalls(agent);
+  for (const StartCall& call : BeginStartCalls(agent.table, now))
+    SendToWorker(vm, call);
+  for (const StopCall& call : BeginStopCalls(agent.table, now))
+    SendToWorker(vm, call);
   Renew(vm);
   ExpireLeases(agent.table, now);
   AnswerSyncs(agent);
   EnsureRowIsValid(vm);
 }
 
+void SimulatedFleet::FinishCall(Agent& agent, const StartCall& call,
+                                const CallResult& result) {
+  FinishStartCall(agent.table, agent.loop.now(), call, result);
+}
+
+void SimulatedFleet::FinishCall(Agent& agent, const StopCall& call,
+                                const CallResult& result) {
+  FinishStopCall(agent.table, agent.loop.now(), call, result);
+}
+
+template <typename CallType>
+void SimulatedFleet::SendToWorker(size_t vm, const CallType& call) {
+  Agent& agent = *vms_[vm].agent;
+  if (vms_[vm].link == WorkerLink::kUp)
+    return FinishCall(agent, call, CarryOut(vm, call));
+  agent.unanswered.push_back({agent.loop.now() + kWorkerCallTimeout,
+                              HandToImpairedLink(vm, call), call});
+}
+
+void SimulatedFleet::TimeOutCalls(Agent& agent) {
+  const MonotonicTime now = agent.loop.now();
+  std::erase_if(agent.unanswered, [&](const UnansweredCall& it) {
+    if (now < it.times_out_at) return false;
+    std::visit([&](const auto& call) { FinishCall(agent, call, it.result); },
+               it.call);
+    return true;
+  });
+}
+
+CallResult SimulatedFleet::HandToImpairedLink(size_t vm,
+                                              const AnyWorkerCall& call) {
+  switch (vms_[vm].link) {
+    case WorkerLink::kUp:
+    case WorkerLink::kLost:
+      break;
+    case WorkerLink::kUnreachable:
+      return {CallOutcome::kRejected, "not connected"};
+    case WorkerLink::kCarriedOutLate:
+      vms_[vm].late_calls.push_back({now_ + late_call_delay_, call});
+  }
+  return {CallOutcome::kUnknown, "no answer"};
+}
+
+bool SimulatedFleet::AwaitsLostRenewal(size_t vm) {
+  Agent& agent = *vms_[vm].agent;
+  if (!agent.renewal || !agent.renewal_failure) return false;
+  const RenewCall call = *agent.renewal;
+  const MonotonicTime now = agent.loop.now();
+  const Duration age = now - call.sent_at;
+  const bool timed_out = age >= call.wait + kWorkerCallTimeout;
+  const bool superseded = agent.table.renew_immediately && age < call.wait;
+  if (!timed_out && !superseded) return true;
+  agent.renewal.reset();
+  const CallResult failure = *std::exchange(agent.renewal_failure, {});
+  if (superseded) return false;
+  HandleRenewalFailure(agent.table, now, call, failure);
+  agent.next_renewal_at = now + kRenewRetryDelay;
+  return false;
+}
+
 void SimulatedFleet::Renew(size_t vm) {
+  if (AwaitsLostRenewal(vm)) return;
   Agent& agent = *vms_[vm].agent;
   Worker& worker = vms_[vm].worker;
   const MonotonicTime now = agent.loop.now();
-  if (agent.table.renew_immediately) agent.renewal.reset();
-  if (!agent.renewal) agent.renewal = BeginRenewal(agent.table, now);
-  if (!agent.renewal) return;
+  if (agent.table.renew_immediately) {
+    agent.renewal.reset();
+  } else if (now < agent.next_renewal_at) {
+    return;
+  }
+  if (!agent.renewal) {
+    agent.renewal = BeginRenewal(agent.table, now);
+    if (agent.renewal && vms_[vm].link != WorkerLink::kUp)
+      agent.renewal_failure = HandToImpairedLink(vm, *agent.renewal);
+  }
+  if (!agent.renewal || agent.renewal_failure) return;
   const bool fenced = agent.renewal->call.fencing < worker.fencing;
   const bool has_end = worker.last_end > agent.renewal->recorded &&
                        !worker.unacknowledged.empty();
   const bool waits = now - agent.renewal->sent_at < agent.renewal->wait;
   if (!fenced && !has_end && waits) return;
   const RenewCall call = *std::exchange(agent.renewal, std::nullopt);
-  if (fenced) {
-    return HandleRenewalFailure(agent.table, now, call,
-                                {CallOutcome::kFenced, "fence"});
-  }
-  worker.fencing = call.call.fencing;
-  if (call.call.lease_until_ms > 0) {
-    worker.lease_until = std::max(worker.lease_until,
-                                  LeaseEnd(worker, call.call.lease_until_ms));
-  }
-  Acknowledge(worker, call.recorded);
+  const CallResult result = CarryOut(vm, call);
+  if (result.outcome != CallOutcome::kOk)
+    return HandleRenewalFailure(agent.table, now, call, result);
   ApplyWorkerListing(agent.table, now, call, List(worker, call.recorded));
 }
 
@@ -511,7 +586,16 @@
   return out;
 }
 
+void SimulatedFleet::CarryOutLateCalls(size_t vm) {
+  std::erase_if(vms_[vm].late_calls, [&](const LateCall& it) {
+    if (now_ < it.due_at) return false;
+    std::visit([&](const auto& call) { CarryOut(vm, call); }, it.call);
+    return true;
+  });
+}
+
 void SimulatedFleet::StepWorker(size_t vm) {
+  CarryOutLateCalls(vm);
   Worker& worker = vms_[vm].worker;
   for (const auto& [task, index] : std::map(worker.running)) {
     if (now_ >= runs_[index].due_at) EndRun(worker, index, runs_[index].end);
@@ -525,7 +609,33 @@
   }
 }
 
-CallResult SimulatedFleet::StartRun(size_t vm, const StartCall& call) {
+CallResult SimulatedFleet::CarryOut(size_t vm, const RenewCall& call) {
+  Worker& worker = vms_[vm].worker;
+  if (call.call.fencing < worker.fencing)
+    return {CallOutcome::kFenced, "fence"};
+  worker.fencing = call.call.fencing;
+  if (call.call.lease_until_ms > 0) {
+    worker.lease_until = std::max(worker.lease_until,
+                                  LeaseEnd(worker, call.call.lease_until_ms));
+  }
+  Acknowledge(worker, call.recorded);
+  return {};
+}
+
+CallResult SimulatedFleet::CarryOut(size_t vm, const StopCall& call) {
+  Worker& worker = vms_[vm].worker;
+  if (call.call.fencing < worker.fencing) return {CallOutcome::kFenced, ""};
+  const auto it = worker.running.find(call.task);
+  if (it != worker.running.end() && runs_[it->second].run == call.run) {
+    EndRun(worker, it->second, RunEnd::kStopped);
+  } else {
+    RunNumber& ended = worker.ended[call.task];
+    ended = std::max(ended, call.run);
+  }
+  return {};
+}
+
+CallResult SimulatedFleet::CarryOut(size_t vm, const StartCall& call) {
   Worker& worker = vms_[vm].worker;
   if (call.call.fencing < worker.fencing) return {CallOutcome::kFenced, ""};
   worker.fencing = call.call.fencing;
--- a/tests/planner/simulated_fleet.h
+++ b/tests/planner/simulated_fleet.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "agent/run_table.h"
@@ -30,6 +31,18 @@
   kAppliedLate,
 };
 
+/// What becomes of the calls of an agent to the worker of its VM.
+enum class WorkerLink : uint8_t {
+  kUp,
+  /// No connection comes about, and the worker's announcements are lost.
+  kUnreachable,
+  /// Calls and announcements are lost.
+  kLost,
+  /// Calls are carried out later, by the process that then has the worker's id,
+  /// and are not answered. Announcements arrive.
+  kCarriedOutLate,
+};
+
 /// @return the submission of a job with one step.
 JobCall MakeSubmission(const std::string& id, uint32_t tasks, MilliCpu each);
 
@@ -64,6 +77,12 @@
   void HealStoreLinks() { store_links_.clear(); }
   /// Sets after which time commits are carried out under kAppliedLate.
   void SetLateCommitDelay(Duration delay) { late_commit_delay_ = delay; }
+  /// Calls that are on their way under kCarriedOutLate are carried out whatever
+  /// becomes of the link.
+  void SetWorkerLink(size_t vm, WorkerLink link);
+  /// Sets after which time calls are carried out that are sent from now on
+  /// under kCarriedOutLate.
+  void SetLateCallDelay(Duration delay) { late_call_delay_ = delay; }
   /// @return Unix time in ms; the same on all machines.
   int64_t unix_ms() const;
 
@@ -81,7 +100,8 @@
   /// A frozen process does nothing. It answers what it received meanwhile once
   /// it is thawed.
   void SetFrozen(const Address& process, bool frozen);
-  /// Ends the process of an agent and starts another one; the worker goes on.
+  /// Ends the process of an agent and starts another one; the worker goes on,
+  /// and carries out the calls that are on their way.
   void RestartAgent(size_t vm);
   /// Ends a worker's process with all its runs and starts another one under
   /// the same id. The next process carries out the renewal that is on its way.
@@ -120,6 +140,13 @@
     PeerLinks::BytesCallback reply;
   };
 
+  /// A start or stop call that is not answered.
+  struct UnansweredCall {
+    MonotonicTime times_out_at{};
+    CallResult result;
+    std::variant<StartCall, StopCall> call;
+  };
+
   struct Agent {
     EventLoop loop;
     RunTable table;
@@ -128,6 +155,10 @@
     bool store_call_in_flight = false;
     MonotonicTime next_row_check_at{};
     std::optional<RenewCall> renewal;
+    /// How the renewal ends if its answer is lost.
+    std::optional<CallResult> renewal_failure;
+    MonotonicTime next_renewal_at{};
+    std::vector<UnansweredCall> unanswered;
     std::vector<PendingSync> pending;
     bool frozen = false;
   };
@@ -159,9 +190,20 @@
     StoreTransaction rows;
   };
 
+  using AnyWorkerCall = std::variant<StartCall, StopCall, RenewCall>;
+
+  struct LateCall {
+    MonotonicTime due_at{};
+    AnyWorkerCall call;
+  };
+
   struct Vm {
     std::unique_ptr<Agent> agent;
     Worker worker;
+    WorkerLink link = WorkerLink::kUp;
+    /// The agent has received the announcement of the worker's process.
+    bool announced = false;
+    std::vector<LateCall> late_calls;
   };
 
   bool IsCut(const Address& from, const Address& to) const {
@@ -185,9 +227,22 @@
   void AnswerSyncs(Agent& agent);
   void StepAgent(size_t vm);
   void Renew(size_t vm);
+  /// @return whether the renewal is on its way, with its answer lost.
+  bool AwaitsLostRenewal(size_t vm);
+  void FinishCall(Agent& agent, const StartCall& call,
+                  const CallResult& result);
+  void FinishCall(Agent& agent, const StopCall& call, const CallResult& result);
+  template <typename CallType>
+  void SendToWorker(size_t vm, const CallType& call);
+  void TimeOutCalls(Agent& agent);
+  /// @return how a call ends that is sent while the link is not up.
+  CallResult HandToImpairedLink(size_t vm, const AnyWorkerCall& call);
 
   void StepWorker(size_t vm);
-  CallResult StartRun(size_t vm, const StartCall& call);
+  void CarryOutLateCalls(size_t vm);
+  CallResult CarryOut(size_t vm, const StartCall& call);
+  CallResult CarryOut(size_t vm, const StopCall& call);
+  CallResult CarryOut(size_t vm, const RenewCall& call);
   void EndRun(Worker& worker, size_t index, RunEnd end);
   void Acknowledge(Worker& worker, uint64_t number);
   WorkerListing List(const Worker& worker, uint64_t acknowledged) const;
@@ -218,6 +273,7 @@
   std::map<GangRunKey, GangRun> gang_runs_;
   Duration late_commit_delay_{};
   std::vector<LateCommit> late_commits_;
+  Duration late_call_delay_{};
 };
 
 }  // namespace almondtally::sched
