Play four faults of leases and ends that outlast what is known of them

Change: a directed case each. Without the marker they print:

- a replaced planner renews no leases of a restarted agent: two runs at once: j.0.0.0 run 2 on vm0 from 6220 ms to 13550 ms, lapsed; j.0.0.0 run 1001 on vm1 from 10770 ms.
Plays only if the former agent's last renewal is lost: else the new worker has the owner's fencing number from it.
- an agent waits for a start that a silent worker may carry out late: j.0.0.0 run 1 on vm0 from 15420 ms to 25420 ms, lapsed; run 2 on vm1 from 21010 ms
- a restarted agent waits for leases sent by its former process: j.0.0.0 run 2 on vm0 from 17485 ms to 26960 ms, lapsed; run 3 on vm1 from 22865 ms.
Plays only if the late renewal reaches the new worker before the new agent's first renewal, whose number is higher
- a late renewal forgets no end of the worker's next process: started after an end as done: j.0.0.0 run 1 on vm0 from 17520 ms to 17620 ms, done; run 2 on vm0 from 18900 ms to 19000 ms, done

--- a/tests/planner/former_lease_takeover_test.cc
+++ b/tests/planner/former_lease_takeover_test.cc
@@ -17,6 +17,9 @@
 constexpr Duration kMaxWait{3'000};
 constexpr size_t kEntries = 2;
 constexpr size_t kVms = 2;
+/// A lease on the clock of so old a process is longer than any on a new one.
+constexpr Duration kOldWorker{15'000};
+constexpr Duration kRunTime{100};
 
 std::string Join(const std::vector<std::string>& lines) {
   std::string out;
@@ -24,16 +27,11 @@
   return out;
 }
 
-/// Submits a task that runs until it is stopped.
-/// @return whether its job was accepted.
-bool SubmitTask(SimulatedFleet& fleet, size_t planner) {
-  bool accepted = false;
-  fleet.Call(planner, MakeSubmission("j", 1, MilliCpu(3'000)), kCallTimeout,
-             [&accepted](const JobAnswer& answer) {
-               accepted = answer.verdict == JobVerdict::kOk;
-             });
-  fleet.Advance(Duration(1'000));
-  return accepted;
+/// Submits a job with one task, which runs until it is stopped unless the fleet
+/// has a fate for it.
+void Submit(SimulatedFleet& fleet, size_t planner, const std::string& job) {
+  fleet.Call(planner, MakeSubmission(job, 1, MilliCpu(3'000)), kCallTimeout,
+             [](const JobAnswer&) {});
 }
 
 std::optional<size_t> FindRunningVm(const SimulatedFleet& fleet) {
@@ -43,6 +41,14 @@
   return std::nullopt;
 }
 
+/// Makes the first entry plan.
+void StartPlanning(SimulatedFleet& fleet) {
+  fleet.SetFrozen(SimulatedFleet::EntryAddress(1), true);
+  fleet.Advance(Duration(2'000));
+  fleet.SetFrozen(SimulatedFleet::EntryAddress(1), false);
+  REQUIRE(fleet.ListPlanners() == std::vector<size_t>{0});
+}
+
 /// @return the VM on which the task runs, once it runs.
 std::optional<size_t> WaitForRun(SimulatedFleet& fleet) {
   for (Duration waited{0}; waited < kMaxWait; waited += kStep) {
@@ -64,11 +70,11 @@
 TEST_CASE("the next planner waits for leases that a restarted worker took" *
           doctest::should_fail()) {
   SimulatedFleet fleet(kEntries, kVms);
-  // A lease on the clock of so old a process is longer than any on a new one.
-  fleet.Advance(kMaxHold + Duration(5'000));
+  fleet.Advance(kOldWorker);
   REQUIRE(fleet.ListPlanners().size() == 1);
   const size_t planner = fleet.ListPlanners()[0];
-  REQUIRE(SubmitTask(fleet, planner));
+  Submit(fleet, planner, "j");
+  fleet.Advance(Duration(1'000));
   REQUIRE(FindRunningVm(fleet));
   for (size_t vm = 0; vm < kVms; ++vm) fleet.RestartWorker(vm);
   const auto vm = WaitForRun(fleet);
@@ -80,5 +86,119 @@
   CHECK(fleet.doubled().empty());
 }
 
+// TWICE: the restarted agent knows no epoch, and follows a replaced planner.
+TEST_CASE("a replaced planner renews no leases of a restarted agent" *
+          doctest::should_fail()) {
+  SimulatedFleet fleet(kEntries, kVms);
+  StartPlanning(fleet);
+  Submit(fleet, 0, "j");
+  fleet.Advance(Duration(1'000));
+  const auto vm = FindRunningVm(fleet);
+  REQUIRE(vm);
+  const Address replaced = SimulatedFleet::EntryAddress(0);
+  const Address owner = SimulatedFleet::EntryAddress(1);
+  const Address agent = SimulatedFleet::AgentAddress(*vm);
+  const Address other_agent = SimulatedFleet::AgentAddress(1 - *vm);
+  fleet.SetStoreLink(replaced, StoreLink::kUnreachable);
+  fleet.CutBothWays(replaced, owner);
+  fleet.CutBothWays(replaced, agent);
+  fleet.CutBothWays(replaced, other_agent);
+  fleet.Advance(Duration(2'500));
+  REQUIRE(fleet.ListPlanners() == std::vector<size_t>{0, 1});
+  fleet.HealLinks();
+  fleet.CutBothWays(replaced, owner);
+  fleet.CutBothWays(replaced, other_agent);
+  fleet.CutBothWays(owner, agent);
+  // The new process of the worker sees no number of the owner.
+  fleet.RestartAgent(*vm, RenewalOnItsWay::kLost);
+  fleet.RestartWorker(*vm, RenewalOnItsWay::kLost);
+  fleet.Advance(kMaxHold);
+  CAPTURE(Join(fleet.doubled()));
+  CHECK(fleet.doubled().empty());
+}
+
+// TWICE: the agent hears nothing of the new process, and gives the run up with
+// the leases that it has sent to the former one.
+TEST_CASE("an agent waits for a start that a silent worker may carry out late" *
+          doctest::should_fail()) {
+  SimulatedFleet fleet(kEntries, kVms);
+  fleet.Advance(kOldWorker);
+  REQUIRE(fleet.ListPlanners().size() == 1);
+  fleet.SetLateCallDelay(Duration(400));
+  for (size_t vm = 0; vm < kVms; ++vm)
+    fleet.SetWorkerLink(vm, WorkerLink::kCarriedOutLate);
+  Submit(fleet, fleet.ListPlanners()[0], "j");
+  fleet.Advance(Duration(200));
+  for (size_t vm = 0; vm < kVms; ++vm) {
+    fleet.SetWorkerLink(vm, WorkerLink::kUnreachable);
+    fleet.RestartWorker(vm);
+  }
+  const auto vm = WaitForRun(fleet);
+  REQUIRE(vm);
+  fleet.SetWorkerLink(1 - *vm, WorkerLink::kUp);
+  fleet.Advance(kMaxHold);
+  CAPTURE(Join(fleet.doubled()));
+  CHECK(fleet.doubled().empty());
+}
+
+// TWICE: the new process of the worker takes a lease of the longest length from
+// a call of the former process of the agent, of which the new one knows
+// nothing.
+TEST_CASE("a restarted agent waits for leases sent by its former process" *
+          doctest::should_fail()) {
+  SimulatedFleet fleet(kEntries, kVms);
+  fleet.Advance(kOldWorker);
+  REQUIRE(fleet.ListPlanners().size() == 1);
+  Submit(fleet, fleet.ListPlanners()[0], "j");
+  fleet.Advance(Duration(1'000));
+  const auto vm = FindRunningVm(fleet);
+  REQUIRE(vm);
+  // The task starts again on this VM.
+  CutOffFromEntries(fleet, 1 - *vm);
+  fleet.SetLateCallDelay(Duration(600));
+  fleet.SetWorkerLink(*vm, WorkerLink::kCarriedOutLate);
+  fleet.Advance(Duration(700));
+  fleet.RestartAgent(*vm);
+  fleet.RestartWorker(*vm);
+  fleet.SetWorkerLink(*vm, WorkerLink::kUp);
+  fleet.Advance(Duration(600));
+  REQUIRE(WaitForRun(fleet) == vm);
+  fleet.HealLinks();
+  CutOffFromEntries(fleet, *vm);
+  fleet.Advance(kMaxHold);
+  CAPTURE(Join(fleet.doubled()));
+  CHECK(fleet.doubled().empty());
+}
+
+// TWICE: the next process of the worker carries out a renewal that acknowledges
+// ends of the former one, and forgets its own end of that number.
+TEST_CASE("a late renewal forgets no end of the worker's next process" *
+          doctest::should_fail()) {
+  SimulatedFleet fleet(kEntries, 1);
+  fleet.SetFate([](const TaskKey&, RunNumber) {
+    return std::pair(RunEnd::kDone, std::optional(kRunTime));
+  });
+  fleet.Advance(kOldWorker);
+  REQUIRE(fleet.ListPlanners().size() == 1);
+  const size_t planner = fleet.ListPlanners()[0];
+  Submit(fleet, planner, "first");
+  fleet.Advance(Duration(1'000));
+  REQUIRE(fleet.runs().size() == 1);
+  REQUIRE(fleet.runs()[0].acknowledged);
+  fleet.SetLateCallDelay(Duration(1'500));
+  fleet.SetWorkerLink(0, WorkerLink::kCarriedOutLate);
+  Submit(fleet, planner, "j");
+  fleet.Advance(Duration(700));
+  fleet.SetWorkerLink(0, WorkerLink::kUnreachable);
+  fleet.RestartWorker(0);
+  fleet.Advance(Duration(2'000));
+  REQUIRE(fleet.runs().size() == 2);
+  REQUIRE(fleet.runs()[1].end == RunEnd::kDone);
+  fleet.SetWorkerLink(0, WorkerLink::kUp);
+  fleet.Advance(Duration(5'000));
+  CAPTURE(Join(fleet.doubled()));
+  CHECK(fleet.doubled().empty());
+}
+
 }  // namespace
 }  // namespace almondtally::sched
