Play a void start that the worker's next process carries out

Cause: an unanswered start is void once the worker has answered under a higher fencing number, and its task is placed elsewhere. If the worker then restarts behind a cut, its next process has not seen that number and carries the start out.

--- a/tests/planner/former_lease_takeover_test.cc
+++ b/tests/planner/former_lease_takeover_test.cc
@@ -141,6 +141,29 @@
   CHECK(fleet.doubled().empty());
 }
 
+// TWICE: the former process has seen the fencing number that makes the start
+// void, and its run was placed elsewhere; the next process has not.
+TEST_CASE("a start that was void stays so for the worker's next process" *
+          doctest::should_fail()) {
+  SimulatedFleet fleet(kEntries, kVms);
+  fleet.Advance(kOldWorker);
+  REQUIRE(fleet.ListPlanners().size() == 1);
+  fleet.SetLateCallDelay(Duration(1'500));
+  for (size_t vm = 0; vm < kVms; ++vm)
+    fleet.SetWorkerLink(vm, WorkerLink::kCarriedOutLate);
+  Submit(fleet, fleet.ListPlanners()[0], "j");
+  fleet.Advance(Duration(300));
+  for (size_t vm = 0; vm < kVms; ++vm) fleet.SetWorkerLink(vm, WorkerLink::kUp);
+  const auto second = WaitForRun(fleet);
+  REQUIRE(second);
+  REQUIRE(fleet.runs()[0].run == RunNumber(2));
+  fleet.SetWorkerLink(1 - *second, WorkerLink::kLost);
+  fleet.RestartWorker(1 - *second);
+  fleet.Advance(kMaxHold);
+  CAPTURE(Join(fleet.doubled()));
+  CHECK(fleet.doubled().empty());
+}
+
 // TWICE: the new process of the worker takes a lease of the longest length from
 // a call of the former process of the agent, of which the new one knows
 // nothing.
