Crashes that a run has outlived no longer count with a later one

A task without fault was hit by crashes by chance 0.3, 0.05, 1.0 and 0.4 s after its starts, and its job failed, although the third run had outlived its test.

Cause: a suspect that outlives its test is cleared of its crashes by the report that shows it at work. If its worker crashes before that report is read, the earlier crashes stayed, so that the verdict depended on which message came first. The exception for that case put the verdict off by one crash only.

Change: a confirmed run that was at work for as long as a test takes clears its task in either case, and the crash that ended it is the first of a new count.

--- a/source/sched/suspects.cc
+++ b/source/sched/suspects.cc
@@ -216,6 +216,18 @@
   return forgotten > 0;
 }
 
+/// Clears the task of the crashes that a run of it has outlived.
+/// @param shown for how long the run is known to have been at work.
+/// @return true if the task was a suspect and is none now.
+bool ClearByRun(ShardState& shard, const TaskKey& key, TaskEntity& task,
+                Duration shown) {
+  const bool is_cleared = shown >= ProofTime(task);
+  if (ForgetOutlivedCrashes(task, shown)) MarkDirty(shard, key.job);
+  if (!is_cleared) return false;
+  task.longest_crash_delay = {};
+  return shard.suspects.erase(key) > 0;
+}
+
 /// @return true if a run has been at work for long enough to start the next
 /// suspect.
 bool AllowsNextSuspect(const VmEntity& vm, const VmRun& run,
@@ -238,6 +250,13 @@
   const bool was_suspect = shard.suspects.contains(end.task);
   const bool outlived_test = was_suspect && delay > ProofTime(task);
   const bool only_suspect = was_suspect && end.crash.suspects == 1;
+  // The report that clears the task may not have been read yet. Whether the
+  // earlier crashes still count must not depend on that.
+  if (end.crash.start == StartEvidence::kConfirmed &&
+      ClearByRun(shard, end.task, task, delay)) {
+    log.push_back(MakeDecision(Decision::Kind::kCleared, end.task, vm.id,
+                               end.run, "the run has outlived its test"));
+  }
   const CrashedRun crash{end.run, ProofOfStart(end.crash, only_suspect),
                          delay.count()};
   const bool is_early = IsEarly(crash);
@@ -264,7 +283,6 @@
           (crash.proof == RunProof::kConfirmed ? "" : ", start not confirmed"));
   suspected.age_ms = end.crash.run_age_ms;
   log.push_back(std::move(suspected));
-  // The report that clears the task was still on its way.
   if (outlived_test && crashes.size() < kMaxCrashes) return;
   if (!IsProvenDeadly(task, crashes, only_suspect)) return;
   log.push_back(MakeDecision(Decision::Kind::kGivenUp, end.task, vm.id, end.run,
@@ -284,16 +302,14 @@
       ++it;
       continue;
     }
-    const Duration shown = ShownAtWork(vm, run->second);
-    if (ForgetOutlivedCrashes(*task, shown)) MarkDirty(shard, key.job);
-    const bool is_cleared = shown >= ProofTime(*task);
-    if (is_cleared) task->longest_crash_delay = {};
+    const bool is_cleared =
+        ClearByRun(shard, key, *task, ShownAtWork(vm, run->second));
     if (task->crashed_runs.empty()) {
       it = shard.crashed_tasks.erase(it);
     } else {
       ++it;
     }
-    if (!is_cleared || shard.suspects.erase(key) == 0) continue;
+    if (!is_cleared) continue;
     log.push_back(MakeDecision(Decision::Kind::kCleared, key, vm.id,
                                run->second.run, "the worker has not crashed"));
   }
--- a/tests/sched/suspects_test.cc
+++ b/tests/sched/suspects_test.cc
@@ -178,6 +178,42 @@
   CHECK(job.state == JobState::kFailed);
 }
 
+// Issue 39, LOST: the job of a task without fault failed after four crashes by
+// chance, one of them under a run that had outlived those before.
+TEST_CASE("crashes that a run has outlived do not fail a job with later ones") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 4);
+  const TaskKey task = Key("j", 0, 0);
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  MonotonicTime now = kNow;
+  std::vector<CrashEvidence> crashes;
+  SUBCASE("the second of four") {
+    crashes = {{308, 13, kConfirmed},
+               {1'031, 1, kConfirmed},
+               {52, 4, kConfirmed},
+               {400, 1, kConfirmed}};
+  }
+  SUBCASE("the third of four") {
+    crashes = {{308, 13, kConfirmed},
+               {52, 4, kConfirmed},
+               {1'031, 1, kConfirmed},
+               {400, 1, kConfirmed}};
+  }
+  SUBCASE("the third of five") {
+    crashes = {{308, 13, kConfirmed},
+               {52, 4, kConfirmed},
+               {1'031, 1, kConfirmed},
+               {400, 1, kConfirmed},
+               {10, 2, kConfirmed}};
+  }
+  for (const CrashEvidence& crash : crashes) {
+    CrashOnce(shard, now, task, crash);
+    CHECK(job.state == JobState::kPending);
+    now += 3 * kLater;
+  }
+  CHECK(shard.suspects.contains(task));
+}
+
 TEST_CASE("crashes stored by an earlier version are no proof") {
   const auto row =
       nlohmann::json::parse(R"({"steps":[{"done":"0","crashes":[[0,[3,4]]]}]})")
