Four crashes by chance do not fail a job unless three came after like delays

Cause: three crashes are compared by their delays, four were not. Of crashes that came after the starts of others, the number says little.

Change: four crashes fail a job if three of them came after like delays. Delays that are not known count as like. Five crashes fail it as before: two starts after the third crash, where BUDGET allows two.

--- a/source/sched/suspects.cc
+++ b/source/sched/suspects.cc
@@ -51,13 +51,14 @@
 /// Crashes after which a task is given up if it was the only suspect of the
 /// last one, and all came about as long after its starts.
 constexpr size_t kCrashesOfOnlySuspect = 3;
+/// Crashes after which a task is given up whatever else was started, if
+/// `kLikeCrashes` of them came about as long after its starts.
+constexpr size_t kCrashesOfOneOfMany = 4;
+constexpr size_t kLikeCrashes = 3;
 /// Crashes that a task causes come after delays that differ by at most this, or
 /// by this part of the longer one. The delays of crashes by chance are spread.
 constexpr Duration kMaxDelaySpread{200};
 constexpr int64_t kMaxDelaySpreadPart = 10;
-/// Crashes after which a task is given up whatever else was started, and
-/// however long after its starts they came.
-constexpr size_t kCrashesOfOneOfMany = 4;
 /// A task is given up only after this many crashes under a run that surely had
 /// begun, or very likely. A worker that crashes before it answers a start call
 /// may have crashed before the call.
@@ -129,17 +130,27 @@
       [&](const CrashedRun& it) { return it.proof >= at_least; });
 }
 
-/// @return true if all crashes came about as long after the starts of the task.
-/// Runs that may not have begun, and delays that are not known, are left out.
-bool HaveSimilarDelays(const std::vector<CrashedRun>& crashes) {
-  int64_t shortest = std::numeric_limits<int64_t>::max();
-  int64_t longest = 0;
+/// @return true if `count` of the crashes came about as long after the starts
+/// of the task. Those of runs that may not have begun, and those after delays
+/// that are not known, count as if they had.
+bool HaveSimilarDelays(const std::vector<CrashedRun>& crashes, size_t count) {
+  std::vector<int64_t> delays_ms;
   for (const CrashedRun& it : crashes) {
     if (it.proof == RunProof::kNone || it.delay_ms < 0) continue;
-    shortest = std::min(shortest, it.delay_ms);
-    longest = std::max(longest, it.delay_ms);
+    delays_ms.push_back(it.delay_ms);
+  }
+  const size_t unknown = crashes.size() - delays_ms.size();
+  if (count <= unknown + 1) return true;
+  const size_t wanted = count - unknown;
+  std::sort(delays_ms.begin(), delays_ms.end());
+  for (size_t i = wanted - 1; i < delays_ms.size(); ++i) {
+    if (AreSimilar(delays_ms[i + 1 - wanted], delays_ms[i])) return true;
   }
-  return longest <= shortest || AreSimilar(shortest, longest);
+  return false;
+}
+
+bool HaveSimilarDelays(const std::vector<CrashedRun>& crashes) {
+  return HaveSimilarDelays(crashes, crashes.size());
 }
 
 /// @param crashes that accuse the task together with the last one.
@@ -150,7 +161,9 @@
   const size_t n = crashes.size();
   if (n >= kMaxCrashes) return true;
   if (CountCrashes(crashes, RunProof::kIsolated) < kLikelyCrashes) return false;
-  if (n >= kCrashesOfOneOfMany) return true;
+  if (n >= kCrashesOfOneOfMany && HaveSimilarDelays(crashes, kLikeCrashes)) {
+    return true;
+  }
   if (!only_suspect) return false;
   return (n >= kCrashesOfOnlySuspect && HaveSimilarDelays(crashes)) ||
          (CountCrashes(crashes, RunProof::kConfirmed) >= kLikelyCrashes &&
--- a/tests/sched/suspects_test.cc
+++ b/tests/sched/suspects_test.cc
@@ -214,6 +214,21 @@
   CHECK(shard.suspects.contains(task));
 }
 
+// Issue 39, LOST: four crashes by chance, after different times.
+TEST_CASE("four crashes after different delays do not fail a job, five do") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 4);
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  MonotonicTime now = kNow;
+  for (const int64_t delay_ms : {1'500, 900, 400, 100}) {
+    CrashOnce(shard, now, Key("j", 0, 0), {delay_ms, 1, kConfirmed});
+    CHECK(job.state == JobState::kPending);
+    now += 3 * kLater;
+  }
+  CrashOnce(shard, now, Key("j", 0, 0), {650, 1, kConfirmed});
+  CHECK(job.state == JobState::kFailed);
+}
+
 TEST_CASE("crashes stored by an earlier version are no proof") {
   const auto row =
       nlohmann::json::parse(R"({"steps":[{"done":"0","crashes":[[0,[3,4]]]}]})")
