Crashes accuse a task under the next planner as they did under this one

Cause: a crash within 2 s of a start makes a suspect if the run was among those started last; otherwise three are needed. The rows of a job did not say which it was, so that each such crash made a suspect under the next planner. These suspects also made the queue of tests longer for all others.

Change: a row says of each crash whether the run was among those started last. The bound of a row's size counts it, and the delay, which it had left out: a crash takes 14 bytes instead of 11.

--- a/source/sched/job.cc
+++ b/source/sched/job.cc
@@ -19,8 +19,9 @@
 constexpr size_t kProgressBytesPerStep = 64;
 constexpr size_t kProgressBytesPerFailedTask = 8;
 constexpr size_t kProgressBytesPerFailure = 9;
-/// A crashed run has its proof besides its number.
-constexpr size_t kProgressBytesPerCrash = kProgressBytesPerFailure + 2;
+/// A crashed run has its proof, the delay of the crash and whether it was
+/// started last besides its number.
+constexpr size_t kProgressBytesPerCrash = kProgressBytesPerFailure + 5;
 
 bool ValidateStep(const JobSpec& spec, size_t i, JobReason& why) {
   const StepSpec& step = spec.steps[i];
--- a/source/sched/job.h
+++ b/source/sched/job.h
@@ -200,6 +200,8 @@
   RunProof proof = RunProof::kNone;
   /// Time from the start of the run to the crash; negative if not known.
   int64_t delay_ms = -1;
+  /// The run was among those started last, or it is not known.
+  bool started_last = true;
 };
 
 /// Runs of one task that may have crashed their workers. The first two fields
@@ -213,12 +215,14 @@
   std::vector<RunNumber> runs;
   std::vector<int> proofs;
   std::vector<int64_t> delays_ms;
+  std::vector<int> started_last;
   for (const CrashedRun& run : it.runs) {
     runs.push_back(run.run);
     proofs.push_back(static_cast<int>(run.proof));
     delays_ms.push_back(run.delay_ms);
+    started_last.push_back(run.started_last ? 1 : 0);
   }
-  out = {it.index, runs, proofs, delays_ms};
+  out = {it.index, runs, proofs, delays_ms, started_last};
 }
 inline void from_json(const nlohmann::json& in, TaskCrashes& it) {
   in.at(0).get_to(it.index);
@@ -230,13 +234,17 @@
   std::vector<int64_t> delays_ms;
   if (in.size() > 3) in.at(3).get_to(delays_ms);
   delays_ms.resize(runs.size(), -1);
+  std::vector<int> started_last;
+  if (in.size() > 4) in.at(4).get_to(started_last);
+  started_last.resize(runs.size(), 1);
   it.runs.clear();
   for (size_t i = 0; i < runs.size(); ++i) {
     const int proof =
         std::clamp(proofs[i], 0, static_cast<int>(RunProof::kConfirmed));
     const int64_t delay_ms = std::clamp<int64_t>(
         delays_ms[i], -1, std::numeric_limits<int32_t>::max());
-    it.runs.push_back({runs[i], static_cast<RunProof>(proof), delay_ms});
+    it.runs.push_back({runs[i], static_cast<RunProof>(proof), delay_ms,
+                       started_last[i] != 0});
   }
 }
 
--- a/source/sched/suspects.cc
+++ b/source/sched/suspects.cc
@@ -124,6 +124,12 @@
   return out;
 }
 
+/// @return true if a crash of the task makes it a suspect.
+bool IsAccused(const TaskEntity& task, const CrashedRun& crash) {
+  return (IsEarly(crash) && crash.started_last) ||
+         ListCrashesLike(task, crash).size() >= kCrashesOfSuspect;
+}
+
 size_t CountCrashes(const std::vector<CrashedRun>& crashes, RunProof at_least) {
   return std::count_if(
       crashes.begin(), crashes.end(),
@@ -271,7 +277,7 @@
                                end.run, "the run has outlived its test"));
   }
   const CrashedRun crash{end.run, ProofOfStart(end.crash, only_suspect),
-                         delay.count()};
+                         delay.count(), end.crash.suspects > 0};
   const bool is_early = IsEarly(crash);
   if (is_early) {
     task.longest_crash_delay = std::max(task.longest_crash_delay, delay);
@@ -283,8 +289,7 @@
   shard.crashed_tasks.insert(end.task);
   MarkDirty(shard, end.task.job);
   const std::vector<CrashedRun> crashes = ListCrashesLike(task, crash);
-  const bool is_accused = is_early && end.crash.suspects > 0;
-  if (!is_accused && crashes.size() < kCrashesOfSuspect) return;
+  if (!IsAccused(task, crash)) return;
   task.longest_crash_delay = std::max(task.longest_crash_delay, delay);
   shard.suspects.insert(end.task);
   task.not_before = now + kSuspectRestartDelay;
@@ -343,10 +348,9 @@
   if (crashes.empty()) return;
   shard.crashed_tasks.insert(key);
   for (const CrashedRun& it : crashes) {
-    const bool is_accused =
-        IsEarly(it) || ListCrashesLike(task, it).size() >= kCrashesOfSuspect;
-    if (!is_accused) continue;
-    shard.suspects.insert(key);
+    const bool is_accused = IsAccused(task, it);
+    if (is_accused) shard.suspects.insert(key);
+    if (!is_accused && !IsEarly(it)) continue;
     task.longest_crash_delay =
         std::max(task.longest_crash_delay, Duration(it.delay_ms));
   }
--- a/tests/sched/suspects_test.cc
+++ b/tests/sched/suspects_test.cc
@@ -608,6 +608,40 @@
   CHECK(second.suspects.empty());
 }
 
+// Issue 39, LOST: the next planner took tasks for suspects that others' crashes
+// had hit, and one more crash by chance failed their jobs.
+TEST_CASE("crashes under tasks not started last accuse none after a takeover") {
+  ShardState first = NewBoard();
+  AddVms(first, 4);
+  JobEntity& job = AcceptJob(first, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  CrashOnce(first, kNow, task, kNotLast);
+  CrashOnce(first, kNow + kLater, task, kNotLast);
+  REQUIRE(first.suspects.empty());
+  JobReason why;
+  const auto row = DecodeRow<JobProgress>(EncodeRow(MakeProgressRow(job)), why);
+  REQUIRE(row);
+
+  ShardState second = NewBoard();
+  second.epoch = PlannerEpoch(2);
+  AddVms(second, 4);
+  JobEntity& loaded = AcceptJob(second, "j", {Step(1, 1'000)});
+  ApplyProgress(second, kNow, loaded, *row);
+  CHECK(second.suspects.empty());
+  CHECK(FindTask(second, task)->crashed_runs.size() == 2);
+  CrashOnce(second, kNow, task, {900, 1, kConfirmed});
+  CHECK(second.suspects.contains(task));
+  CHECK(loaded.state == JobState::kPending);
+}
+
+TEST_CASE("crashes stored by a version that does not say which run was last") {
+  const auto row =
+      nlohmann::json::parse("[0,[3,4],[2,2],[900,10]]").get<TaskCrashes>();
+  REQUIRE(row.runs.size() == 2);
+  CHECK(row.runs[0].started_last);
+  CHECK(row.runs[1].started_last);
+}
+
 // Issue 26, LOST: each suspect waited for the test of the one before it.
 TEST_CASE("lasting suspects of a late crash run again within 9 s") {
   constexpr uint32_t kTasks = 8;
