--- a/source/sched/suspects.cc
+++ b/source/sched/suspects.cc
@@ -51,13 +51,14 @@
 /// Crashes after which a task is given up if it was the only suspect of the
 /// last one, and all came about as long after its starts.
 constexpr size_t kCrashesOfOnlySuspect = 3;
+/// Crashes after which a task is given up whatever else was started, if
+/// `kLikeCrashes` of them came about as long after its starts.
+constexpr size_t kCrashesOfOneOfMany = 4;
+constexpr size_t kLikeCrashes = 3;
 /// Crashes that a task causes come after delays that differ by at most this, or
 /// by this part of the longer one. The delays of crashes by chance are spread.
 constexpr Duration kMaxDelaySpread{200};
 constexpr int64_t kMaxDelaySpreadPart = 10;
-/// Crashes after which a task is given up whatever else was started, and
-/// however long after its starts they came.
-constexpr size_t kCrashesOfOneOfMany = 4;
 /// A task is given up only after this many crashes under a run that surely had
 /// begun, or very likely. A worker that crashes before it answers a start call
 /// may have crashed before the call.
@@ -123,23 +124,39 @@
   return out;
 }
 
+/// @return true if a crash of the task makes it a suspect.
+bool IsAccused(const TaskEntity& task, const CrashedRun& crash) {
+  return (IsEarly(crash) && crash.started_last) ||
+         ListCrashesLike(task, crash).size() >= kCrashesOfSuspect;
+}
+
 size_t CountCrashes(const std::vector<CrashedRun>& crashes, RunProof at_least) {
   return std::count_if(
       crashes.begin(), crashes.end(),
       [&](const CrashedRun& it) { return it.proof >= at_least; });
 }
 
-/// @return true if all crashes came about as long after the starts of the task.
-/// Runs that may not have begun, and delays that are not known, are left out.
-bool HaveSimilarDelays(const std::vector<CrashedRun>& crashes) {
-  int64_t shortest = std::numeric_limits<int64_t>::max();
-  int64_t longest = 0;
+/// @return true if `count` of the crashes came about as long after the starts
+/// of the task. Those of runs that may not have begun, and those after delays
+/// that are not known, count as if they had.
+bool HaveSimilarDelays(const std::vector<CrashedRun>& crashes, size_t count) {
+  std::vector<int64_t> delays_ms;
   for (const CrashedRun& it : crashes) {
     if (it.proof == RunProof::kNone || it.delay_ms < 0) continue;
-    shortest = std::min(shortest, it.delay_ms);
-    longest = std::max(longest, it.delay_ms);
+    delays_ms.push_back(it.delay_ms);
+  }
+  const size_t unknown = crashes.size() - delays_ms.size();
+  if (count <= unknown + 1) return true;
+  const size_t wanted = count - unknown;
+  std::sort(delays_ms.begin(), delays_ms.end());
+  for (size_t i = wanted - 1; i < delays_ms.size(); ++i) {
+    if (AreSimilar(delays_ms[i + 1 - wanted], delays_ms[i])) return true;
   }
-  return longest <= shortest || AreSimilar(shortest, longest);
+  return false;
+}
+
+bool HaveSimilarDelays(const std::vector<CrashedRun>& crashes) {
+  return HaveSimilarDelays(crashes, crashes.size());
 }
 
 /// @param crashes that accuse the task together with the last one.
@@ -150,7 +167,9 @@
   const size_t n = crashes.size();
   if (n >= kMaxCrashes) return true;
   if (CountCrashes(crashes, RunProof::kIsolated) < kLikelyCrashes) return false;
-  if (n >= kCrashesOfOneOfMany) return true;
+  if (n >= kCrashesOfOneOfMany && HaveSimilarDelays(crashes, kLikeCrashes)) {
+    return true;
+  }
   if (!only_suspect) return false;
   return (n >= kCrashesOfOnlySuspect && HaveSimilarDelays(crashes)) ||
          (CountCrashes(crashes, RunProof::kConfirmed) >= kLikelyCrashes &&
@@ -216,6 +235,18 @@
   return forgotten > 0;
 }
 
+/// Clears the task of the crashes that a run of it has outlived.
+/// @param shown for how long the run is known to have been at work.
+/// @return true if the task was a suspect and is none now.
+bool ClearByRun(ShardState& shard, const TaskKey& key, TaskEntity& task,
+                Duration shown) {
+  const bool is_cleared = shown >= ProofTime(task);
+  if (ForgetOutlivedCrashes(task, shown)) MarkDirty(shard, key.job);
+  if (!is_cleared) return false;
+  task.longest_crash_delay = {};
+  return shard.suspects.erase(key) > 0;
+}
+
 /// @return true if a run has been at work for long enough to start the next
 /// suspect.
 bool AllowsNextSuspect(const VmEntity& vm, const VmRun& run,
@@ -238,8 +269,15 @@
   const bool was_suspect = shard.suspects.contains(end.task);
   const bool outlived_test = was_suspect && delay > ProofTime(task);
   const bool only_suspect = was_suspect && end.crash.suspects == 1;
+  // The report that clears the task may not have been read yet. Whether the
+  // earlier crashes still count must not depend on that.
+  if (end.crash.start == StartEvidence::kConfirmed &&
+      ClearByRun(shard, end.task, task, delay)) {
+    log.push_back(MakeDecision(Decision::Kind::kCleared, end.task, vm.id,
+                               end.run, "the run has outlived its test"));
+  }
   const CrashedRun crash{end.run, ProofOfStart(end.crash, only_suspect),
-                         delay.count()};
+                         delay.count(), end.crash.suspects > 0};
   const bool is_early = IsEarly(crash);
   if (is_early) {
     task.longest_crash_delay = std::max(task.longest_crash_delay, delay);
@@ -251,8 +289,7 @@
   shard.crashed_tasks.insert(end.task);
   MarkDirty(shard, end.task.job);
   const std::vector<CrashedRun> crashes = ListCrashesLike(task, crash);
-  const bool is_accused = is_early && end.crash.suspects > 0;
-  if (!is_accused && crashes.size() < kCrashesOfSuspect) return;
+  if (!IsAccused(task, crash)) return;
   task.longest_crash_delay = std::max(task.longest_crash_delay, delay);
   shard.suspects.insert(end.task);
   task.not_before = now + kSuspectRestartDelay;
@@ -264,7 +301,6 @@
           (crash.proof == RunProof::kConfirmed ? "" : ", start not confirmed"));
   suspected.age_ms = end.crash.run_age_ms;
   log.push_back(std::move(suspected));
-  // The report that clears the task was still on its way.
   if (outlived_test && crashes.size() < kMaxCrashes) return;
   if (!IsProvenDeadly(task, crashes, only_suspect)) return;
   log.push_back(MakeDecision(Decision::Kind::kGivenUp, end.task, vm.id, end.run,
@@ -284,16 +320,14 @@
       ++it;
       continue;
     }
-    const Duration shown = ShownAtWork(vm, run->second);
-    if (ForgetOutlivedCrashes(*task, shown)) MarkDirty(shard, key.job);
-    const bool is_cleared = shown >= ProofTime(*task);
-    if (is_cleared) task->longest_crash_delay = {};
+    const bool is_cleared =
+        ClearByRun(shard, key, *task, ShownAtWork(vm, run->second));
     if (task->crashed_runs.empty()) {
       it = shard.crashed_tasks.erase(it);
     } else {
       ++it;
     }
-    if (!is_cleared || shard.suspects.erase(key) == 0) continue;
+    if (!is_cleared) continue;
     log.push_back(MakeDecision(Decision::Kind::kCleared, key, vm.id,
                                run->second.run, "the worker has not crashed"));
   }
@@ -314,10 +348,9 @@
   if (crashes.empty()) return;
   shard.crashed_tasks.insert(key);
   for (const CrashedRun& it : crashes) {
-    const bool is_accused =
-        IsEarly(it) || ListCrashesLike(task, it).size() >= kCrashesOfSuspect;
-    if (!is_accused) continue;
-    shard.suspects.insert(key);
+    const bool is_accused = IsAccused(task, it);
+    if (is_accused) shard.suspects.insert(key);
+    if (!is_accused && !IsEarly(it)) continue;
     task.longest_crash_delay =
         std::max(task.longest_crash_delay, Duration(it.delay_ms));
   }
--- a/tests/sched/suspects_test.cc
+++ b/tests/sched/suspects_test.cc
@@ -178,6 +178,57 @@
   CHECK(job.state == JobState::kFailed);
 }
 
+// Issue 39, LOST: the job of a task without fault failed after four crashes by
+// chance, one of them under a run that had outlived those before.
+TEST_CASE("crashes that a run has outlived do not fail a job with later ones") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 4);
+  const TaskKey task = Key("j", 0, 0);
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  MonotonicTime now = kNow;
+  std::vector<CrashEvidence> crashes;
+  SUBCASE("the second of four") {
+    crashes = {{308, 13, kConfirmed},
+               {1'031, 1, kConfirmed},
+               {52, 4, kConfirmed},
+               {400, 1, kConfirmed}};
+  }
+  SUBCASE("the third of four") {
+    crashes = {{308, 13, kConfirmed},
+               {52, 4, kConfirmed},
+               {1'031, 1, kConfirmed},
+               {400, 1, kConfirmed}};
+  }
+  SUBCASE("the third of five") {
+    crashes = {{308, 13, kConfirmed},
+               {52, 4, kConfirmed},
+               {1'031, 1, kConfirmed},
+               {400, 1, kConfirmed},
+               {10, 2, kConfirmed}};
+  }
+  for (const CrashEvidence& crash : crashes) {
+    CrashOnce(shard, now, task, crash);
+    CHECK(job.state == JobState::kPending);
+    now += 3 * kLater;
+  }
+  CHECK(shard.suspects.contains(task));
+}
+
+// Issue 39, LOST: four crashes by chance, after different times.
+TEST_CASE("four crashes after different delays do not fail a job, five do") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 4);
+  JobEntity& job = AcceptJob(shard, "j", {Step(1, 1'000)});
+  MonotonicTime now = kNow;
+  for (const int64_t delay_ms : {1'500, 900, 400, 100}) {
+    CrashOnce(shard, now, Key("j", 0, 0), {delay_ms, 1, kConfirmed});
+    CHECK(job.state == JobState::kPending);
+    now += 3 * kLater;
+  }
+  CrashOnce(shard, now, Key("j", 0, 0), {650, 1, kConfirmed});
+  CHECK(job.state == JobState::kFailed);
+}
+
 TEST_CASE("crashes stored by an earlier version are no proof") {
   const auto row =
       nlohmann::json::parse(R"({"steps":[{"done":"0","crashes":[[0,[3,4]]]}]})")
@@ -487,6 +538,49 @@
   CHECK(VmOf(shard, task) == expected);
 }
 
+// Issue 39, BUDGET: if all VMs had late starts, a deadly task was tested beside
+// them, and its crash named up to seven others.
+TEST_CASE("a suspect waits until no other task could have crashed its worker") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 2);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  CrashOnce(shard, kNow, task, kOnlySuspect);
+  // The VM whose worker crashed is away.
+  VmEntity* vm = nullptr;
+  for (auto& [id, it] : shard.vms) {
+    const bool crashed = it.reserved_for_suspects_until > kNow;
+    it.worker.draining = crashed;
+    if (!crashed) vm = &it;
+  }
+  REQUIRE(vm != nullptr);
+  AcceptJob(shard, "late", {Step(1, 1'000)});
+  Place(shard, kNow + Duration(45));
+  REQUIRE(vm->runs.contains(Key("late", 0, 0)));
+  MonotonicTime now = kNow + Duration(60);
+  const auto place = [&] {
+    Place(shard, now);
+    return VmOf(shard, task) != nullptr;
+  };
+  CHECK_FALSE(place());
+  SUBCASE("it is started next") {
+    ReportAllRunning(shard, *vm, now);
+    now += Duration(50);
+    AcceptJob(shard, "later", {Step(1, 1'000)});
+    CHECK_FALSE(place());
+    CHECK(VmOf(shard, Key("later", 0, 0)) == nullptr);
+    now += Duration(60);
+    CHECK(place());
+    CHECK(VmOf(shard, Key("later", 0, 0)) == nullptr);
+  }
+  SUBCASE("it does not wait for a start that takes long") {
+    now += Duration(140);
+    CHECK_FALSE(place());
+    now += Duration(20);
+    CHECK(place());
+  }
+}
+
 // Placing the backlog on a restarted VM would lose it to the next crash.
 TEST_CASE("a VM whose worker crashed is kept free for suspects for a moment") {
   ShardState shard = NewBoard();
@@ -557,6 +651,40 @@
   CHECK(second.suspects.empty());
 }
 
+// Issue 39, LOST: the next planner took tasks for suspects that others' crashes
+// had hit, and one more crash by chance failed their jobs.
+TEST_CASE("crashes under tasks not started last accuse none after a takeover") {
+  ShardState first = NewBoard();
+  AddVms(first, 4);
+  JobEntity& job = AcceptJob(first, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  CrashOnce(first, kNow, task, kNotLast);
+  CrashOnce(first, kNow + kLater, task, kNotLast);
+  REQUIRE(first.suspects.empty());
+  JobReason why;
+  const auto row = DecodeRow<JobProgress>(EncodeRow(MakeProgressRow(job)), why);
+  REQUIRE(row);
+
+  ShardState second = NewBoard();
+  second.epoch = PlannerEpoch(2);
+  AddVms(second, 4);
+  JobEntity& loaded = AcceptJob(second, "j", {Step(1, 1'000)});
+  ApplyProgress(second, kNow, loaded, *row);
+  CHECK(second.suspects.empty());
+  CHECK(FindTask(second, task)->crashed_runs.size() == 2);
+  CrashOnce(second, kNow, task, {900, 1, kConfirmed});
+  CHECK(second.suspects.contains(task));
+  CHECK(loaded.state == JobState::kPending);
+}
+
+TEST_CASE("crashes stored by a version that does not say which run was last") {
+  const auto row =
+      nlohmann::json::parse("[0,[3,4],[2,2],[900,10]]").get<TaskCrashes>();
+  REQUIRE(row.runs.size() == 2);
+  CHECK(row.runs[0].started_last);
+  CHECK(row.runs[1].started_last);
+}
+
 // Issue 26, LOST: each suspect waited for the test of the one before it.
 TEST_CASE("lasting suspects of a late crash run again within 9 s") {
   constexpr uint32_t kTasks = 8;
