Tell the next planner of a longer lease, and agents who plans

Cause: a worker that starts again takes a lease of up to 10 s from calls that were meant for its former process.

Change: the VM's row says how long runs may last (AgentRow::former_lease_ms). Nothing starts under a longer lease before the row does and the agent has read the head row after it; it follows no planner that had been replaced by then. A planner that takes over waits as long for a VM that it does not hear. An agent that starts reads both rows in the same way before it starts tasks, and takes leases before that for workers only that are older than itself; with a row of a former process, it counts a worker that is younger than 20 s as one that has taken the longest lease. Such VMs are open to all tasks once this is recorded, as the last choice: that the next planner did not know was the reason to close them.

Interface: fields former_lease_recorded and awaits_registration of reports, former_lease_ms of rows of VMs, event 9311 worker.former_lease_recorded, a field more in 9201 and 9307.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -15,11 +15,6 @@
 /// once while there are any, so renewals would otherwise run in a tight loop.
 constexpr Duration kRenewPause{15};
 constexpr Duration kRenewRetryDelay{100};
-/// An agent that no planner has granted a lease for this long checks whether
-/// its row is still in the store and readable.
-constexpr Duration kPlannerSilence{3'000};
-constexpr Duration kRowCheckInterval{2'000};
-constexpr Duration kWriteRowRetryDelay{300};
 constexpr const char* kShard = "shard-0";
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
@@ -39,57 +34,83 @@
   table_.life = AgentIncarnation((random() >> kUnusedLifeBits) | 1);
   table_.started_at = loop_.now();
   table_.max_worker_lease = settings_.max_worker_lease;
+  BeginRegistration(table_);
 }
 
 void Agent::Start() {
   loop_.RunEvery(kTickInterval, [this] { Tick(); });
 }
 
+StoreKey Agent::RowKey() const {
+  return {table::kAgents, kShard, settings_.vm.value};
+}
+
+void Agent::Register() {
+  switch (NextRegistrationStep(registration_, table_, loop_.now())) {
+    case RegistrationStep::kNone:
+      return;
+    case RegistrationStep::kReadRow:
+      return ReadAgentRow();
+    case RegistrationStep::kWriteRow:
+      return WriteAgentRow();
+    case RegistrationStep::kReadHead:
+      return ReadHead();
+  }
+}
+
+void Agent::ReadAgentRow() {
+  registration_.call_in_flight = true;
+  store_.read(
+      table::kAgents, kShard, settings_.vm.value,
+      [this](const std::optional<StoreRows>& rows, const PlatformReason&) {
+        FinishRowRead(registration_, table_, loop_.now(), rows, RowKey());
+        Register();
+      });
+}
+
 void Agent::WriteAgentRow() {
-  if (row_write_in_flight_) return;
-  row_write_in_flight_ = true;
+  const int64_t former_lease_ms = BeginRowWrite(registration_, table_);
   StoreTransaction rows;
   rows.puts.push_back(
-      {{table::kAgents, kShard, settings_.vm.value},
-       EncodeRow(AgentRow{ToString(settings_.peer), settings_.data_centre})});
-  store_.commit(rows, [this](const StoreCommitResult& result) {
-    row_write_in_flight_ = false;
-    if (result.error == PlatformError::kNone) {
-      row_written_ = true;
-      next_row_check_at_ = loop_.now() + kPlannerSilence;
-      Log(Event::kAgentListed,
-          {{"vm", settings_.vm.value},
-           {"row_version", static_cast<int64_t>(result.version.value)}});
-      return;
-    }
-    Log(Event::kStoreLost, {{"reason", result.text}});
-    loop_.RunAfter(kWriteRowRetryDelay, [this] { WriteAgentRow(); });
+      {RowKey(), EncodeRow(AgentRow{ToString(settings_.peer),
+                                    settings_.data_centre, former_lease_ms})});
+  store_.commit(rows, [this, former_lease_ms](const StoreCommitResult& result) {
+    const bool committed = result.error == PlatformError::kNone;
+    FinishRowWrite(registration_, loop_.now(), former_lease_ms, committed);
+    if (!committed) return Log(Event::kStoreLost, {{"reason", result.text}});
+    Log(Event::kAgentListed,
+        {{"vm", settings_.vm.value},
+         {"row_version", static_cast<int64_t>(result.version.value)},
+         {"former_lease_ms", former_lease_ms}});
+    Register();
   });
 }
 
-bool Agent::HasWorker() const {
-  return !table_.worker.id.empty() && !table_.worker.draining;
+void Agent::ReadHead() {
+  registration_.call_in_flight = true;
+  store_.read(
+      table::kHead, kShard, kHeadKey,
+      [this](const std::optional<StoreRows>& rows, const PlatformReason&) {
+        const PlannerEpoch previous_epoch = table_.epoch;
+        const bool was_recorded = table_.former_lease_recorded;
+        FinishHeadRead(registration_, table_, loop_.now(), rows);
+        if (table_.epoch != previous_epoch) LogPlanner(previous_epoch);
+        if (table_.former_lease_recorded && !was_recorded) {
+          Log(Event::kFormerLeaseRecorded,
+              {{"worker", table_.worker.id.value},
+               {"lease_left_ms",
+                (table_.former_lease_until - loop_.now()).count()},
+               {"epoch", static_cast<int64_t>(table_.epoch.value)}});
+        }
+        AnswerPendingSyncs();
+      });
 }
 
-void Agent::EnsureRowIsValid() {
-  const MonotonicTime now = loop_.now();
-  if (!row_written_ || row_write_in_flight_ ||
-      now - table_.last_grant_at < kPlannerSilence)
-    return;
-  if (now < next_row_check_at_) return;
-  next_row_check_at_ = now + kRowCheckInterval;
-  store_.read(table::kAgents, kShard, settings_.vm.value,
-              [this](std::optional<StoreRows> rows, const PlatformReason&) {
-                if (!rows) return;
-                JobReason why;
-                const bool is_listed = std::any_of(
-                    rows->rows.begin(), rows->rows.end(),
-                    [&](const StoreRow& row) {
-                      return row.at.key == settings_.vm.value &&
-                             DecodeAgentRow(row.value, why).has_value();
-                    });
-                if (!is_listed && HasWorker()) WriteAgentRow();
-              });
+void Agent::LogPlanner(PlannerEpoch previous_epoch) const {
+  Log(Event::kPlannerHeard,
+      {{"planner", table_.planner},
+       {"epoch", static_cast<int64_t>(table_.epoch.value)},
+       {"was", static_cast<int64_t>(previous_epoch.value)}});
 }
 
 void Agent::HandleSync(const Exchange& exchange) {
@@ -103,12 +124,7 @@
   const PlannerEpoch previous_epoch = table_.epoch;
   const bool was_evacuated = table_.evacuation.evacuated;
   const bool current = ApplySyncRequest(table_, loop_.now(), *request);
-  if (table_.epoch != previous_epoch) {
-    Log(Event::kPlannerHeard,
-        {{"planner", request->planner},
-         {"epoch", static_cast<int64_t>(request->epoch.value)},
-         {"was", static_cast<int64_t>(previous_epoch.value)}});
-  }
+  if (table_.epoch != previous_epoch) LogPlanner(previous_epoch);
   if (table_.evacuation.evacuated != was_evacuated) {
     Log(Event::kVmEvacuated,
         {{"data_centre", settings_.data_centre.value},
@@ -186,9 +202,7 @@
     Log(Event::kWorkerDraining, {{"worker", hello.worker.id.value},
                                  {"remaining_ms", hello.worker.remaining_ms}});
   }
-  // A planner that takes over waits for each listed VM. One without a worker
-  // has nothing to report.
-  if (!row_written_ && HasWorker()) WriteAgentRow();
+  Register();
   Renew();
   AnswerPendingSyncs();
 }
@@ -237,6 +251,7 @@
         }
         LogSettledStarts();
         if (table_.has_former_lease && !had_former_lease) LogFormerLease();
+        Register();
         const bool is_new_worker = table_.worker.id != call.call.worker ||
                                    table_.worker_born_ms != born_before_ms;
         if (is_new_worker) LogWorker();
@@ -315,7 +330,7 @@
   LogSettledStarts();
   Renew();
   SendWorkerCalls();
-  EnsureRowIsValid();
+  Register();
   AnswerPendingSyncs();
 }
 
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <string>
 
+#include "agent/registration.h"
 #include "agent/run_table.h"
 #include "external/store.h"
 #include "metrics/metrics.h"
@@ -54,10 +55,13 @@
   void SendWorkerCalls();
   void AnswerPendingSyncs();
   void Answer(const Exchange& exchange, const SyncRequest& request);
-  /// @return true if the VM has a worker that is not about to leave.
-  bool HasWorker() const;
-  void EnsureRowIsValid();
+  /// Begins the next call to the store, if one is needed.
+  void Register();
+  void ReadAgentRow();
   void WriteAgentRow();
+  void ReadHead();
+  StoreKey RowKey() const;
+  void LogPlanner(PlannerEpoch previous_epoch) const;
   void LogWorker() const;
   void LogFormerLease() const;
   void Tick();
@@ -76,9 +80,7 @@
   MonotonicTime renewal_wait_end_{};
   /// Number of the newest renewal; results of older ones are ignored.
   uint64_t renewal_generation_ = 0;
-  bool row_written_ = false;
-  bool row_write_in_flight_ = false;
-  MonotonicTime next_row_check_at_{};
+  Registration registration_;
 };
 
 }  // namespace almondtally::sched
--- a/source/agent/former_lease.cc
+++ b/source/agent/former_lease.cc
@@ -8,6 +8,11 @@
 /// A call without an answer may be carried out as late as this.
 constexpr Duration kMaxCallDelay{15'000};
 
+/// @return how long a lease of the worker's may last on the agent's clock.
+Duration WithDrift(Duration lease) {
+  return lease + lease * kClockDriftPercent / 100;
+}
+
 /// Forgets the unanswered calls that can no longer be carried out.
 void ExpireUnansweredLeases(RunTable& table, MonotonicTime now) {
   if (now - table.unanswered_lease_at <= kMaxCallDelay) return;
@@ -38,6 +43,7 @@
   table.lease_sent_ms = 0;
   table.former_lease_until = {};
   table.has_former_lease = false;
+  table.former_lease_recorded = false;
 }
 
 void UpdateLeasesOfFormerWorker(RunTable& table, MonotonicTime now,
@@ -45,9 +51,9 @@
                                 const WorkerListing& listing) {
   if (table.former_lease_end_ms == 0) return;
   const Duration until_end(table.former_lease_end_ms - listing.clock_ms);
-  const Duration longest =
-      std::clamp(until_end, Duration(0), table.max_worker_lease);
-  table.former_lease_until = now + longest + longest * kClockDriftPercent / 100;
+  table.former_lease_until =
+      now +
+      WithDrift(std::clamp(until_end, Duration(0), table.max_worker_lease));
   table.has_former_lease = table.former_lease_until > now + kLeaseGrantDuration;
   if (call.call.fencing >= table.process_fencing) table.former_lease_end_ms = 0;
 }
@@ -67,7 +73,23 @@
     return;
   }
   table.has_former_lease = false;
+  table.former_lease_recorded = false;
   ++table.version;
 }
 
+Duration LongestFormerLease(const RunTable& table) {
+  return WithDrift(table.max_worker_lease);
+}
+
+bool HasUnrecordedLease(const RunTable& table) {
+  return table.has_former_lease && !table.former_lease_recorded;
+}
+
+void AssumeFormerAgent(RunTable& table, MonotonicTime now) {
+  RecordUnansweredLease(table, now,
+                        (kMaxCallDelay + table.max_worker_lease).count());
+  table.former_lease_end_ms = table.unanswered_lease_ms;
+  table.renew_immediately = true;
+}
+
 }  // namespace almondtally::sched::detail
--- a/source/agent/former_lease.h
+++ b/source/agent/former_lease.h
@@ -35,4 +35,16 @@
 /// Forgets leases of a former process once they cannot outlast a grant.
 void ExpireLeasesOfFormerWorker(RunTable& table, MonotonicTime now);
 
+/// @return the longest time that a lease of a former process may still last.
+Duration LongestFormerLease(const RunTable& table);
+
+/// @return true if runs may outlast the usual lease and the store does not tell
+/// later planners so.
+bool HasUnrecordedLease(const RunTable& table);
+
+/// Assumes that an earlier process of this agent sent calls to a former process
+/// of the worker just before it ended: they may be carried out as long as the
+/// present worker process is young.
+void AssumeFormerAgent(RunTable& table, MonotonicTime now);
+
 }  // namespace almondtally::sched::detail
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -9,6 +9,7 @@
 namespace almondtally::sched {
 
 using detail::ExpireLeasesOfFormerWorker;
+using detail::HasUnrecordedLease;
 using detail::RecordLeasesOfFormerWorker;
 using detail::RecordUnansweredLease;
 using detail::StopRunsOfFormerCalls;
@@ -234,6 +235,8 @@
   if (table.worker.draining) return "draining";
   if (table.evacuation.evacuated) return kEvacuated;
   if (!table.clock_known) return "worker not heard yet";
+  if (table.awaits_registration) return "planner not confirmed by the store";
+  if (HasUnrecordedLease(table)) return "longer lease not recorded";
   if (lease_until - now < kMinLeaseToStart) return "lease too short";
   return CheckRoom(table, TotalAdmissionSize(table), order);
 }
@@ -539,23 +542,41 @@
   return false;
 }
 
-bool ApplySyncRequest(RunTable& table, MonotonicTime now,
-                      const SyncRequest& request) {
-  if (request.epoch < table.epoch) return false;
-  if (request.epoch > table.epoch) {
-    table.epoch = request.epoch;
+/// @return false if the planner may have been replaced before this process
+/// started, and neither the store nor the worker would show it: a worker that
+/// is older than this process rejects calls under lower fencing numbers than it
+/// has seen.
+bool MayFollow(const RunTable& table, MonotonicTime now) {
+  if (!table.awaits_registration) return true;
+  if (!table.clock_known) return false;
+  const Duration worker_age = Duration(table.clock_ms) + (now - table.clock_at);
+  const Duration own_age = now - table.started_at;
+  return worker_age > own_age + own_age * kClockDriftPercent / 100;
+}
+
+void FollowPlanner(RunTable& table, PlannerEpoch epoch,
+                   const std::string& planner, const std::string& address) {
+  if (epoch < table.epoch) return;
+  if (epoch > table.epoch) {
+    table.epoch = epoch;
     table.batch = 0;
     ++table.version;
   }
-  table.planner = request.planner;
-  table.planner_address = request.planner_address;
+  table.planner = planner;
+  table.planner_address = address;
+}
+
+bool ApplySyncRequest(RunTable& table, MonotonicTime now,
+                      const SyncRequest& request) {
+  if (request.epoch < table.epoch) return false;
+  FollowPlanner(table, request.epoch, request.planner, request.planner_address);
   if (request.grant_ms > 0) table.last_grant_at = now;
   AdoptNotice(table.evacuation,
               {request.evacuated, RowVersion(request.evacuated_as_of)});
   if (request.life != table.life) return true;
   table.fencing = std::max(table.fencing, request.fencing_base);
   DropRecordedEnds(table, now, request.ends_recorded);
-  if (request.stamp.value != 0) {
+  if (request.stamp.value != 0 && MayFollow(table, now)) {
     const MonotonicTime granted{Duration(request.stamp.value) +
                                 Duration(request.grant_ms)};
     table.lease_until = std::max(table.lease_until, granted);
@@ -579,8 +600,10 @@
   out.batch = table.batch;
   out.settled = table.settled;
   out.worker = table.worker;
+  out.awaits_registration = table.awaits_registration;
   if (table.has_former_lease) {
     out.former_lease_ms = (table.former_lease_until - now).count();
+    out.former_lease_recorded = table.former_lease_recorded;
   }
   const bool known = request.life == table.life;
   out.complete = !known || request.seen_version == 0 ||
@@ -617,7 +640,7 @@
         EndRunLocally(table, it, RunEnd::kNotStarted, "lease too short");
       } else if (!no_room.empty()) {
         EndRunLocally(table, it, RunEnd::kNotStarted, no_room);
-      } else if (!table.unproven_hello) {
+      } else if (!table.unproven_hello && !HasUnrecordedLease(table)) {
         // The lease would be on the clock of a process that may be gone.
         reserved += AdmissionSize(run.order.size, run.order.filler);
         run.call_in_flight = true;
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -173,6 +173,12 @@
   /// These leases last for longer than a planner can grant one; until then the
   /// planner is told so.
   bool has_former_lease = false;
+  /// The store tells later planners of these leases, and this process follows
+  /// no planner that had been replaced before; see agent/registration.h.
+  bool former_lease_recorded = false;
+  /// This process does not know yet which planners have been replaced, so that
+  /// it starts nothing.
+  bool awaits_registration = false;
 
   /// When the worker last answered a call.
   MonotonicTime worker_heard_at{};
@@ -216,6 +222,10 @@
 bool ReceiveWorkerHello(RunTable& table, MonotonicTime now,
                         const WorkerHello& hello);
 
+/// Follows a planner from now on, unless a later one is known.
+void FollowPlanner(RunTable& table, PlannerEpoch epoch,
+                   const std::string& planner, const std::string& address);
+
 /// Applies a planner's request: leases, orders and recorded ends.
 /// @return false if the request came from a planner that has been replaced.
 bool ApplySyncRequest(RunTable& table, MonotonicTime now,
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -363,7 +363,7 @@
       {Event::kPlannerHeard, "planner.heard", kMembership, kInfo,
        "the first order from a planner with a new epoch was received"},
       {Event::kAgentListed, "agent.listed", kMembership, kInfo,
-       "this agent wrote its row"},
+       "this agent wrote its row, with what it says of longer leases"},
       {Event::kStartSettled, "start.settled", kMembership, kInfo,
        "the outcome of a start without an answer has become known; age is the "
        "time since the call was sent"},
@@ -373,6 +373,9 @@
       {Event::kFormerLease, "worker.former_lease", kMembership, kWarning,
        "the worker started again under its id, and may have taken a lease that "
        "was meant for its former process and lasts for this long"},
+      {Event::kFormerLeaseRecorded, "worker.former_lease_recorded", kMembership,
+       kInfo,
+       "the store tells later planners of that lease; tasks may be started"},
       {Event::kSettingsReloaded, "settings.reloaded", kProcess, kInfo,
        "the settings were reloaded, with what changed"},
   };
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -127,6 +127,7 @@
   kStartSettled = 9308,
   kWorkerUnproven = 9309,
   kFormerLease = 9310,
+  kFormerLeaseRecorded = 9311,
   kSettingsReloaded = 9401,
 };
 
--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -33,9 +33,10 @@
 /// The same for a VM whose worker has left and that has no runs.
 constexpr Duration kLeftVmTimeout{1'000};
 
-bool HasNoLease(const ShardState& board, const VmEntity& vm) {
+bool HasNoLease(const ShardState& board, const VmEntity& vm,
+                bool earlier_leases_ended) {
   return vm.lease_ends_at != MonotonicTime{} && HaveLeasesEnded(board, vm) &&
-         IsOwnershipProvenSince(board, EndOfEarlierLeases(board));
+         earlier_leases_ended;
 }
 
 /// @return true if no task can be on the VM: its agent follows this planner,
@@ -46,11 +47,22 @@
 }
 
 /// @return how long the VM may be silent before it is no longer listed.
-Duration SilenceAllowed(const ShardState& board, const VmEntity& vm) {
+Duration SilenceAllowed(const ShardState& board, const VmEntity& vm,
+                        bool earlier_leases_ended) {
   if (HasLeft(vm)) return kLeftVmTimeout;
   if (vm.synced) return Duration::max();
-  if (vm.awaiting_first_sync && IsRecovering(board)) return Duration::max();
-  return HasNoLease(board, vm) ? kLostVmTimeout : kSilentVmTimeout;
+  if (vm.awaiting_first_sync && !earlier_leases_ended) return Duration::max();
+  return HasNoLease(board, vm, earlier_leases_ended) ? kLostVmTimeout
+                                                     : kSilentVmTimeout;
+}
+
+/// Notes a longer lease that the row of a VM tells of. It was granted before
+/// the row was written.
+void NoteRecordedLease(VmEntity& vm, MonotonicTime now, Duration former_lease) {
+  if (former_lease == Duration(0)) return;
+  vm.recorded_lease_ends_at = now + former_lease + kLeaseExpiryMargin;
+  if (!vm.synced) return;
+  vm.lease_ends_at = std::max(vm.lease_ends_at, vm.recorded_lease_ends_at);
 }
 
 }  // namespace
@@ -76,10 +88,13 @@
   vm.agent = *ParseAddress(agent->address);
   vm.data_centre = agent->data_centre;
   vm.row_version = row.version;
+  NoteRecordedLease(vm, loop_.now(), Duration(agent->former_lease_ms));
   if (!is_new) return;
   vm.listed_at = loop_.now();
   vm.row_unproven = true;
-  Log(Event::kVmListed, {{"vm", id.value}, {"agent", agent->address}});
+  Log(Event::kVmListed, {{"vm", id.value},
+                         {"agent", agent->address},
+                         {"former_lease_ms", agent->former_lease_ms}});
   poll_generations_[id] = ++last_poll_generation_;
   Poll(id);
 }
@@ -226,11 +241,14 @@
 
 void Planner::RemoveSilentVms() {
   const MonotonicTime now = loop_.now();
+  const bool earlier_leases_ended =
+      IsOwnershipProvenSince(board_, EndOfEarlierLeases(board_));
   for (auto it = board_.vms.begin(); it != board_.vms.end();) {
     VmEntity& vm = it->second;
     const MonotonicTime last_heard_at =
         std::max(vm.last_report_at, vm.listed_at);
-    if (now - last_heard_at < SilenceAllowed(board_, vm)) {
+    if (now - last_heard_at <
+        SilenceAllowed(board_, vm, earlier_leases_ended)) {
       ++it;
       continue;
     }
--- a/source/planner/journal.cc
+++ b/source/planner/journal.cc
@@ -8,8 +8,6 @@
 namespace almondtally::sched {
 namespace {
 
-constexpr const char* kHeadKey = "head";
-
 std::optional<ShardHead> DecodeShardHead(const std::string& value) {
   JobReason why;
   return DecodeRow<ShardHead>(value, why);
--- a/source/sched/candidates.cc
+++ b/source/sched/candidates.cc
@@ -62,7 +62,8 @@
                   MonotonicTime now) {
   return vm.synced && !vm.partial && !vm.row_unproven &&
          !IsLeaseUnproven(shard, vm, now) && vm.worker.responsive &&
-         !vm.worker.draining && !vm.evacuated && !vm.starts_held;
+         !vm.worker.draining && !vm.evacuated && !vm.starts_held &&
+         !vm.unregistered;
 }
 
 std::vector<CandidateVm> ListCandidateVms(ShardState& shard, MonotonicTime now,
@@ -80,9 +81,8 @@
     candidate.idle_cpu = worker.capacity.cpu.value;
     candidate.testing_suspect = tests.vms.contains(id);
     candidate.busy_with_suspect = tests.busy.contains(id);
-    candidate.reserved_for_suspects =
-        vm.reserved_for_suspects_until > now || vm.has_former_lease;
-    candidate.unreliable = IsUnreliable(vm, now);
+    candidate.reserved_for_suspects = vm.reserved_for_suspects_until > now;
+    candidate.unreliable = IsUnreliable(vm, now) || vm.has_former_lease;
     candidate.speed = SpeedOf(shard, vm, now);
     for (const auto& [task, run] : vm.runs) {
       Resources size = run.size;
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -268,13 +268,19 @@
   /// has granted: their worker process was sent leases that were meant for a
   /// former one. 0 if no lease lasts for longer than a planner can grant one.
   int64_t former_lease_ms = 0;
+  /// The VM's row says so, and the agent has since learnt from the store which
+  /// planner owned the shard then, and follows no earlier one.
+  bool former_lease_recorded = false;
+  /// The agent starts nothing, since the store has not shown it who plans.
+  bool awaits_registration = false;
   WorkerReport worker;
   std::vector<RunReport> runs;
   std::vector<RunEndReport> ends;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     SyncReport, message_version, epoch, planner_address, life, stamp, version,
-    batch, settled, complete, partial, former_lease_ms, worker, runs, ends)
+    batch, settled, complete, partial, former_lease_ms, former_lease_recorded,
+    awaits_registration, worker, runs, ends)
 
 enum class JobVerb : uint8_t { kSubmit, kRead, kCancel, kCount };
 NLOHMANN_JSON_SERIALIZE_ENUM(JobVerb, {{JobVerb::kSubmit, "submit"},
--- a/source/sched/ownership.cc
+++ b/source/sched/ownership.cc
@@ -33,7 +33,11 @@
   if (shard.earlier_planners_stopped_at != MonotonicTime{}) {
     last_grant = std::min(last_grant, shard.earlier_planners_stopped_at);
   }
-  return last_grant + kMaxLeaseDuration;
+  MonotonicTime out = last_grant + kMaxLeaseDuration;
+  for (const auto& [id, vm] : shard.vms) {
+    if (vm.awaiting_first_sync) out = std::max(out, vm.recorded_lease_ends_at);
+  }
+  return out;
 }
 
 bool IsRecovering(const ShardState& shard) {
--- a/source/sched/ownership.h
+++ b/source/sched/ownership.h
@@ -36,7 +36,8 @@
                      MonotonicTime now);
 
 /// @return when the leases granted by earlier planners have expired, unless a
-/// later planner has renewed them.
+/// later planner has renewed them, and those that rows of VMs not heard yet
+/// tell of.
 MonotonicTime EndOfEarlierLeases(const ShardState& shard);
 
 /// @return true while runs of an earlier planner may still execute without
--- a/source/sched/records.cc
+++ b/source/sched/records.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+
+#include "sched/shard_head.h"
 #include "sched/shard_state.h"
 
 namespace almondtally::sched {
@@ -38,9 +41,20 @@
 std::optional<AgentRow> DecodeAgentRow(const std::string& bytes,
                                        JobReason& why) {
   auto row = DecodeRow<AgentRow>(bytes, why);
-  if (!row || ParseAddress(row->address)) return row;
+  if (!row) return row;
+  row->former_lease_ms =
+      std::clamp<int64_t>(row->former_lease_ms, 0, kMaxRecordedLease.count());
+  if (ParseAddress(row->address)) return row;
   why.Set(JobError::kBadRow, "not an address");
   return std::nullopt;
 }
 
+std::optional<ShardHead> FindShardHead(const StoreRows& rows) {
+  JobReason why;
+  for (const StoreRow& row : rows.rows) {
+    if (row.at.key == kHeadKey) return DecodeRow<ShardHead>(row.value, why);
+  }
+  return std::nullopt;
+}
+
 }  // namespace almondtally::sched
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -455,6 +455,8 @@
   ReleaseRecordedEnds(shard, vm);
   vm.partial = report.partial;
   vm.has_former_lease = report.former_lease_ms > 0;
+  vm.unregistered = report.awaits_registration ||
+                    (vm.has_former_lease && !report.former_lease_recorded);
   if (!vm.partial) vm.awaiting_first_sync = false;
   if (vm.synced) return;
   vm.synced = true;
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -191,10 +191,14 @@
   bool row_unproven = false;
   /// The latest report may lack runs that the VM has had; see SyncReport.
   bool partial = false;
-  /// Runs may outlast the leases that are granted; see SyncReport. A planner
-  /// that takes over and does not hear the VM does not know of it, so that only
-  /// tasks suspected of crashing workers are placed here.
+  /// Runs may outlast the leases that are granted; see SyncReport. If the VM
+  /// falls silent, its tasks wait for that long.
   bool has_former_lease = false;
+  /// Nothing is placed here: a planner that takes over and does not hear the VM
+  /// would not know of a longer lease, or the agent does not know who plans.
+  bool unregistered = false;
+  /// When the leases that the VM's row tells of have expired.
+  MonotonicTime recorded_lease_ends_at{};
   /// Agent process whose state was last processed.
   AgentIncarnation life;
   /// Agent process that sent the latest report; differs from `life` until it is
@@ -455,12 +459,20 @@
 inline constexpr const char* kHead = "head";
 }  // namespace table
 
+/// Longest lease that a row is believed to state.
+inline constexpr Duration kMaxRecordedLease{600'000};
+
 /// Row of an agent: the address at which the planner reaches it.
 struct AgentRow {
   std::string address;
   DataCentreId data_centre;
+  /// Runs of the VM may go on for this long after the row was read, whatever
+  /// leases planners have granted; see SyncReport::former_lease_ms. 0 if no
+  /// lease lasts for longer than a planner can grant one.
+  int64_t former_lease_ms = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AgentRow, address, data_centre)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AgentRow, address, data_centre,
+                                                former_lease_ms)
 
 /// Decodes the row of an agent and validates its address.
 /// @param why receives the reason if the row is not that of an agent.
--- a/source/sched/waiting.cc
+++ b/source/sched/waiting.cc
@@ -65,7 +65,7 @@
     if (vm.synced && (vm.worker.service != service || !has_label)) continue;
     if (!vm.synced) {
       ++out.silent;
-    } else if (vm.partial || vm.row_unproven ||
+    } else if (vm.partial || vm.row_unproven || vm.unregistered ||
                IsLeaseUnproven(shard, vm, now)) {
       ++out.unproven;
     } else if (!vm.worker.responsive) {
@@ -78,7 +78,7 @@
       ++out.without_room;
     } else if (IsClosedToTask(vm, step, key)) {
       ++out.closed_to_task;
-    } else if (vm.set_aside_until > now || vm.has_former_lease) {
+    } else if (vm.set_aside_until > now) {
       ++out.set_aside;
     } else {
       ++out.suitable;
--- /dev/null
+++ b/tests/agent/registration_test.cc
@@ -0,0 +1,223 @@
+#include "agent/registration.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+#include "sched/shard_state.h"
+
+namespace almondtally::sched {
+namespace {
+
+const MonotonicTime kNow{Duration(1'000'000)};
+const StoreKey kRow{table::kAgents, "shard-0", "vm"};
+constexpr int64_t kBornMs = 100;
+constexpr Duration kMaxLease{10'000};
+
+StoreRows RowOf(const AgentRow& row) {
+  StoreRows out;
+  out.rows.push_back({kRow, EncodeRow(row), RowVersion(1)});
+  return out;
+}
+
+StoreRows HeadOf(uint64_t epoch) {
+  ShardHead head;
+  head.planner = "entry-" + std::to_string(epoch);
+  head.address = "10.0.1.1:7000";
+  head.epoch = PlannerEpoch(epoch);
+  StoreRows out;
+  out.rows.push_back(
+      {{table::kHead, "shard-0", kHeadKey}, EncodeRow(head), RowVersion(2)});
+  return out;
+}
+
+/// The agent of a VM as it starts, with a worker that has announced itself.
+struct StartingAgent {
+  RunTable table;
+  Registration registration;
+
+  StartingAgent() {
+    table.started_at = kNow;
+    table.life = AgentIncarnation(7);
+    BeginRegistration(table);
+    WorkerHello hello;
+    hello.worker.id = WorkerId("w");
+    hello.born_ms = kBornMs;
+    ApplyWorkerHello(table, kNow, hello);
+  }
+
+  RegistrationStep Next(MonotonicTime now = kNow) {
+    return NextRegistrationStep(registration, table, now);
+  }
+
+  void ReadRow(const std::optional<StoreRows>& rows) {
+    REQUIRE(Next() == RegistrationStep::kReadRow);
+    FinishRowRead(registration, table, kNow, rows, kRow);
+  }
+
+  /// @return what the row says of leases.
+  int64_t WriteRow(bool committed = true) {
+    REQUIRE(Next() == RegistrationStep::kWriteRow);
+    const int64_t lease_ms = BeginRowWrite(registration, table);
+    FinishRowWrite(registration, kNow, lease_ms, committed);
+    return lease_ms;
+  }
+
+  void ReadHead(uint64_t epoch) {
+    REQUIRE(Next() == RegistrationStep::kReadHead);
+    FinishHeadRead(registration, table, kNow, HeadOf(epoch));
+  }
+
+  /// The worker answers, `clock_ms` after its start.
+  void HearWorker(int64_t clock_ms) {
+    table.fencing = std::max<uint64_t>(table.fencing, 1);
+    WorkerListing listing;
+    listing.clock_ms = clock_ms;
+    listing.born_ms = kBornMs;
+    ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), listing);
+  }
+};
+
+TEST_CASE("an agent without a former process starts tasks once it is listed") {
+  StartingAgent it;
+  it.ReadRow(StoreRows());
+  CHECK(it.WriteRow() == 0);
+  CHECK(MakeReport(it.table, kNow, {}).awaits_registration);
+  it.ReadHead(3);
+  CHECK_FALSE(MakeReport(it.table, kNow, {}).awaits_registration);
+  CHECK(it.table.epoch == PlannerEpoch(3));
+  it.table.last_grant_at = kNow;
+  CHECK(it.Next() == RegistrationStep::kNone);
+}
+
+// Issue 42, TWICE: the restarted agent followed a planner that had been
+// replaced.
+TEST_CASE("an agent follows no planner that was replaced before it started") {
+  StartingAgent it;
+  it.ReadRow(RowOf({"10.0.2.1:7000", DataCentreId("dc"), 0}));
+  it.WriteRow();
+  it.HearWorker(60'000);
+  it.ReadHead(2);
+  SyncRequest request;
+  request.epoch = PlannerEpoch(1);
+  CHECK_FALSE(ApplySyncRequest(it.table, kNow, request));
+  CHECK(MakeReport(it.table, kNow, request).epoch == PlannerEpoch(2));
+}
+
+TEST_CASE("an agent that cannot read the head row keeps trying") {
+  StartingAgent it;
+  it.ReadRow(StoreRows());
+  it.WriteRow();
+  REQUIRE(it.Next() == RegistrationStep::kReadHead);
+  FinishHeadRead(it.registration, it.table, kNow, std::nullopt);
+  CHECK(it.table.awaits_registration);
+  CHECK(it.Next() == RegistrationStep::kNone);
+  CHECK(it.Next(kNow + Duration(1'000)) == RegistrationStep::kReadHead);
+}
+
+// A planner that was replaced grants no lease to a worker that cannot have seen
+// its successor's fencing numbers.
+TEST_CASE("leases are taken before the registration for old workers only") {
+  StartingAgent it;
+  SyncRequest request;
+  request.epoch = PlannerEpoch(1);
+  request.life = it.table.life;
+  request.stamp = AgentTime(kNow.time_since_epoch().count());
+  request.grant_ms = kLeaseGrantDuration.count();
+  bool granted = false;
+  SUBCASE("the worker has not been heard") {}
+  SUBCASE("the worker is younger") { it.HearWorker(0); }
+  SUBCASE("the worker is older") {
+    it.HearWorker(60'000);
+    granted = true;
+  }
+  ApplySyncRequest(it.table, kNow, request);
+  CHECK((it.table.lease_until > kNow) == granted);
+}
+
+// TWICE: a restarted agent did not know of calls that its former process had
+// sent to a former process of the worker.
+TEST_CASE("a restarted agent records the lease of a young worker") {
+  StartingAgent it;
+  int64_t row_says = 0;
+  SUBCASE("its row told of no longer lease") {}
+  SUBCASE("its row told of a longer lease") { row_says = 9'000; }
+  it.ReadRow(RowOf({"10.0.2.1:7000", DataCentreId("dc"), row_says}));
+  CHECK(it.WriteRow() == row_says);
+  CHECK(it.Next() == RegistrationStep::kNone);
+  SUBCASE("the worker is young") {
+    it.HearWorker(1'000);
+    CHECK(it.table.has_former_lease);
+    CHECK(it.WriteRow() >= kMaxLease.count());
+    CHECK_FALSE(it.table.former_lease_recorded);
+    it.ReadHead(2);
+    CHECK(it.table.former_lease_recorded);
+    CHECK_FALSE(it.table.awaits_registration);
+  }
+  SUBCASE("the worker is old") {
+    it.HearWorker(60'000);
+    CHECK_FALSE(it.table.has_former_lease);
+    if (row_says > 0) CHECK(it.WriteRow() == 0);
+    it.ReadHead(2);
+    CHECK_FALSE(it.table.awaits_registration);
+  }
+}
+
+TEST_CASE("a lease is recorded anew for each process of the worker") {
+  StartingAgent it;
+  it.ReadRow(RowOf({"10.0.2.1:7000", DataCentreId("dc"), 0}));
+  it.WriteRow();
+  it.HearWorker(1'000);
+  it.WriteRow();
+  it.ReadHead(2);
+  REQUIRE(it.table.former_lease_recorded);
+  WorkerHello hello;
+  hello.worker.id = WorkerId("w");
+  hello.born_ms = kBornMs + 5'000;
+  ApplyWorkerHello(it.table, kNow, hello);
+  CHECK_FALSE(it.table.former_lease_recorded);
+  WorkerListing listing;
+  listing.clock_ms = 500;
+  listing.born_ms = hello.born_ms;
+  ApplyWorkerListing(it.table, kNow, *BeginRenewal(it.table, kNow), listing);
+  REQUIRE(it.table.has_former_lease);
+  SUBCASE("the write fails") {
+    it.WriteRow(false);
+    CHECK(it.Next() == RegistrationStep::kNone);
+    CHECK(it.Next(kNow + Duration(1'000)) == RegistrationStep::kWriteRow);
+    CHECK_FALSE(it.table.former_lease_recorded);
+  }
+  SUBCASE("the write succeeds") {
+    it.WriteRow();
+    it.ReadHead(2);
+    CHECK(it.table.former_lease_recorded);
+  }
+}
+
+TEST_CASE("a lease that has ended is taken out of the row") {
+  StartingAgent it;
+  it.ReadRow(RowOf({"10.0.2.1:7000", DataCentreId("dc"), 0}));
+  it.WriteRow();
+  it.HearWorker(1'000);
+  CHECK(it.WriteRow() > 0);
+  it.ReadHead(2);
+  ExpireLeases(it.table, kNow + kMaxLease);
+  REQUIRE_FALSE(it.table.has_former_lease);
+  CHECK(it.WriteRow() == 0);
+}
+
+TEST_CASE("a row that has been removed is written again") {
+  StartingAgent it;
+  it.ReadRow(StoreRows());
+  it.WriteRow();
+  it.ReadHead(1);
+  const MonotonicTime later = kNow + Duration(4'000);
+  REQUIRE(it.Next(later) == RegistrationStep::kReadRow);
+  FinishRowRead(it.registration, it.table, later, StoreRows(), kRow);
+  CHECK(it.Next(later) == RegistrationStep::kWriteRow);
+}
+
+}  // namespace
+}  // namespace almondtally::sched
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -551,6 +551,7 @@
 TEST_CASE("a restarted worker starts nothing before it gives its capacity") {
   RunTable table = Ready();
   ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), Listing(10, 200));
+  table.former_lease_recorded = true;
   Order(table, {Start(kTask, 1, 4'000)});
   CHECK(BeginStartCalls(table, kNow).empty());
   REQUIRE(Ends(table).size() == 1);
@@ -789,6 +790,7 @@
                      Listing(500, 200));
   REQUIRE(table.runs.empty());
   ApplyWorkerHello(table, kNow, Hello("w", 200));
+  table.former_lease_recorded = true;
   Order(table, {Start(kTask, 2)});
   const auto calls = BeginStartCalls(table, kNow);
   REQUIRE(calls.size() == 1);
@@ -800,6 +802,38 @@
   CHECK(BeginStopCalls(table, kNow).empty());
 }
 
+// Issue 56, TWICE: a start was covered by a longer lease that the next planner
+// did not know of.
+TEST_CASE("nothing starts under a longer lease that is not recorded") {
+  RunTable table = StartOnRestartedWorker(CallOutcome::kUnknown);
+  for (int i = 0; i < 2; ++i) {
+    ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow),
+                       Listing(500, 200));
+  }
+  ApplyWorkerHello(table, kNow, Hello("w", 200));
+  const uint64_t last = Ends(table).back().number;
+  bool starts = false;
+  SUBCASE("not recorded") {}
+  SUBCASE("recorded") {
+    table.former_lease_recorded = true;
+    starts = true;
+  }
+  CHECK(MakeReport(table, kNow, Request(table)).former_lease_recorded ==
+        starts);
+  Order(table, {Start(kTask, 2)});
+  CHECK(BeginStartCalls(table, kNow).size() == (starts ? 1 : 0));
+  CHECK((Ends(table).back().number > last) == !starts);
+}
+
+TEST_CASE("nothing starts before the store has shown who plans") {
+  RunTable table = Ready();
+  table.awaits_registration = true;
+  Order(table, {Start(kTask, 1)});
+  CHECK(BeginStartCalls(table, kNow).empty());
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].end == RunEnd::kNotStarted);
+}
+
 TEST_CASE("calls meant for a former process are void after the next answer") {
   RunTable table = Ready();
   const uint64_t before = table.fencing;
--- a/tests/planner/deadly_tasks_test.cc
+++ b/tests/planner/deadly_tasks_test.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "agent/registration.h"
 #include "agent/run_table.h"
 #include "sched/shard_state.h"
 
@@ -17,6 +18,8 @@
 
 constexpr Duration kTick{5};
 constexpr Duration kWorkerRestart{3'200};
+/// Time of a call to the store.
+constexpr Duration kStoreDelay{10};
 constexpr Duration kArrivals{20'000};
 constexpr Duration kSettling{60'000};
 constexpr size_t kVms = 8;
@@ -41,6 +44,11 @@
   std::vector<WorkerRunEnd> ends;
   /// Renewal that the worker has not answered yet.
   std::optional<RenewCall> renewal;
+  Registration registration;
+  /// Call to the store that has not been answered yet.
+  RegistrationStep store_call = RegistrationStep::kNone;
+  int64_t lease_written_ms = 0;
+  MonotonicTime store_answers_at{};
 };
 
 /// One planner and its agents. Rows of the store are kept as bytes; nothing
@@ -55,6 +63,7 @@
       vm.agent.life = AgentIncarnation(i + 1);
       vm.agent.started_at = now_;
       vm.back_at = now_;
+      vm.registration.row_read = true;
       vms_.push_back(std::move(vm));
     }
     ListVms();
@@ -225,6 +234,29 @@
     }
     Renew(vm);
     ExpireLeases(vm.agent, now_);
+    Register(vm);
+  }
+
+  void Register(SimulatedVm& vm) {
+    if (vm.store_call != RegistrationStep::kNone) return AnswerStoreCall(vm);
+    vm.store_call = NextRegistrationStep(vm.registration, vm.agent, now_);
+    vm.store_answers_at = now_ + kStoreDelay;
+    if (vm.store_call == RegistrationStep::kWriteRow)
+      vm.lease_written_ms = BeginRowWrite(vm.registration, vm.agent);
+  }
+
+  void AnswerStoreCall(SimulatedVm& vm) {
+    if (now_ < vm.store_answers_at) return;
+    switch (std::exchange(vm.store_call, RegistrationStep::kNone)) {
+      case RegistrationStep::kNone:
+        return;
+      case RegistrationStep::kReadRow:
+        return FinishRowRead(vm.registration, vm.agent, now_, std::nullopt, {});
+      case RegistrationStep::kWriteRow:
+        return FinishRowWrite(vm.registration, now_, vm.lease_written_ms, true);
+      case RegistrationStep::kReadHead:
+        return FinishHeadRead(vm.registration, vm.agent, now_, StoreRows());
+    }
   }
 
   /// The worker answers a renewal after its wait time, or at an end.
--- a/tests/sched/ownership_test.cc
+++ b/tests/sched/ownership_test.cc
@@ -46,6 +46,26 @@
   CHECK(it.PlaceAt(kLeaseEnd) == 1);
 }
 
+// Issue 56, TWICE: the next planner counted on leases of the usual length.
+TEST_CASE("a planner waits for longer leases that rows of silent VMs tell of") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  shard.took_over_at = kNow;
+  shard.earlier_planners_stopped_at = kNow;
+  vm.awaiting_first_sync = true;
+  vm.recorded_lease_ends_at = kNow + Duration(10'500);
+  shard.ownership_proven_at = kNow + kMaxLeaseDuration;
+  CHECK(IsRecovering(shard));
+  SUBCASE("the VM reports") {
+    vm.awaiting_first_sync = false;
+    AddVm(shard, "b").awaiting_first_sync = true;
+  }
+  SUBCASE("the leases have ended") {
+    shard.ownership_proven_at = vm.recorded_lease_ends_at;
+  }
+  CHECK_FALSE(IsRecovering(shard));
+}
+
 TEST_CASE("a VM whose lease has ended gets no tasks before it reports again") {
   SilentVm it;
   AcceptJob(it.shard, "large", {Step(1, 2'500)});
