Events for a target missed beside fillers, from the measure to the pause

Logs could not tell, for one serving task on one VM, how long its target had been missed by the agent's clock, nor when a pause was sent to the worker, answered and so in force: 9108 named neither task nor time, 9121 no measure, and the agent logged failed calls only.

The agent learns each run's target and the allowed time with its orders (StartOrder, RunSize, SyncRequest), counts how long a target has been missed and reports it. 9121 has measure, target and the agent's count, 9108 the task and both counts, 9311 the confirmed pause with its times, 9312 the fault itself: the allowed time is over and fillers are not known to be paused. 9311 and 9312 are bounded by the changes of pauses and by one line a missed target, and by 500 lines a second as all events. Metrics: targets_missed, target_missed_longest_ms, fillers_paused, targets_missed_beside_fillers. No decision changes.

Reports of agents of the earlier version lack the count, which is then -1.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "agent/tail_guard.h"
 #include "base/log.h"
 #include "base/random.h"
 #include "sched/shard_state.h"
@@ -281,6 +282,26 @@
   }
 }
 
+void Agent::LogMissedTargets() {
+  for (const PaceNote& it : std::exchange(table_.pace_notes, {})) {
+    Log(Event::kPauseConfirmed, {{"task", ToString(it.task)},
+                                 {"run", static_cast<int64_t>(it.run.value)},
+                                 {"percent", it.percent},
+                                 {"told_ms", it.requested_for.count()},
+                                 {"sent_ms", it.sent_for.count()},
+                                 {"missed_ms", it.missed_for.count()}});
+  }
+  for (const LongMissNote& it : std::exchange(table_.long_misses, {})) {
+    ++targets_missed_long_;
+    Log(Event::kTargetMissedLong, {{"task", ToString(it.task)},
+                                   {"run", static_cast<int64_t>(it.run.value)},
+                                   {"tail_ms", it.tail_ms},
+                                   {"target_ms", it.target_ms},
+                                   {"missed_ms", it.missed_for.count()},
+                                   {"fillers_at_work", it.fillers_at_work}});
+  }
+}
+
 void Agent::SendWorkerCalls() {
   const MonotonicTime now = loop_.now();
   for (const StartCall& it : BeginStartCalls(table_, now)) {
@@ -315,6 +336,7 @@
   LogSettledStarts();
   Renew();
   SendWorkerCalls();
+  LogMissedTargets();
   EnsureRowIsValid();
   AnswerPendingSyncs();
 }
@@ -330,6 +352,8 @@
   set("planner_age_ms", (now - table_.last_grant_at).count());
   set("worker_responsive", table_.worker.responsive ? 1 : 0);
   set("epoch", table_.epoch.value);
+  set("target_missed_longest_ms", LongestMiss(table_, now).count());
+  set("targets_missed_beside_fillers", targets_missed_long_);
   set("evacuated", table_.evacuation.evacuated ? 1 : 0);
   set("evacuation_refusals", table_.evacuation_refusals);
 }
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -51,6 +51,7 @@
 
   void Renew();
   void LogSettledStarts();
+  void LogMissedTargets();
   void SendWorkerCalls();
   void AnswerPendingSyncs();
   void Answer(const Exchange& exchange, const SyncRequest& request);
@@ -76,6 +77,8 @@
   MonotonicTime renewal_wait_end_{};
   /// Number of the newest renewal; results of older ones are ignored.
   uint64_t renewal_generation_ = 0;
+  /// Cases of a target missed for the allowed time beside fillers at work.
+  uint64_t targets_missed_long_ = 0;
   bool row_written_ = false;
   bool row_write_in_flight_ = false;
   MonotonicTime next_row_check_at_{};
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "agent/former_lease.h"
+#include "agent/tail_guard.h"
 
 namespace almondtally::sched {
 
@@ -266,6 +267,7 @@
   run.order_expires_at = expires_at;
   run.checkpoint = order.checkpoint;
   run.requested_pace = order.pace;
+  run.pace_requested_at = now;
   MarkChanged(table, table.runs[order.task] = std::move(run));
 }
 
@@ -317,6 +319,7 @@
     if (it == table.runs.end() || it->second.order.run != size.run) continue;
     it->second.order.size = size.size;
     it->second.order.filler = size.filler;
+    it->second.order.tail_target_ms = size.tail_target_ms;
     it->second.size_known = true;
     MarkChanged(table, it->second);
   }
@@ -324,7 +327,10 @@
   for (const SpeedLimitOrder& order : request.paces) {
     const auto it = table.runs.find(order.task);
     if (it == table.runs.end() || it->second.order.run != order.run) continue;
+    if (it->second.requested_pace == order.percent) continue;
     it->second.requested_pace = order.percent;
+    it->second.pace_requested_at = now;
+    it->second.pace_sent_at = {};
   }
   for (const StartOrder& order : request.starts) {
     ApplyStartOrder(table, now, order, OrderExpiry(request), request.worker);
@@ -409,6 +415,7 @@
   run.checkpoint = listed.checkpoint;
   run.percent = listed.percent;
   run.measurement = listed.measurement;
+  UpdateMissedTarget(run, now);
   const bool due = now - run.measures_reported_at >= kMeasureReportInterval;
   if (!started && !(due && (checkpoint_changed || measures_changed))) return;
   run.measures_reported_at = now;
@@ -550,6 +557,9 @@
   table.planner = request.planner;
   table.planner_address = request.planner_address;
   if (request.grant_ms > 0) table.last_grant_at = now;
+  if (request.tail_limit_ms > 0) {
+    table.tail_limit = Duration(request.tail_limit_ms);
+  }
   AdoptNotice(table.evacuation,
               {request.evacuated, RowVersion(request.evacuated_as_of)});
   if (request.life != table.life) return true;
@@ -589,8 +599,8 @@
   for (const auto& [task, run] : table.runs) {
     if (!out.complete && run.version <= request.seen_version) continue;
     out.runs.push_back({task, run.order.run, run.phase, run.checkpoint,
-                        run.percent, run.measurement, run.pace,
-                        !run.size_known});
+                        run.percent, run.measurement, run.pace, !run.size_known,
+                        MissedFor(run, now).count()});
   }
   const uint64_t seen_end = known ? request.seen_end : 0;
   for (const UnrecordedEnd& end : table.ends) {
@@ -705,12 +715,14 @@
 }
 
 std::vector<PaceCall> BeginPaceCalls(RunTable& table, MonotonicTime now) {
+  NoteLongMisses(table, now);
   std::vector<PaceCall> out;
   for (auto& [task, run] : table.runs) {
     const bool due = run.pace != run.requested_pace &&
                      run.phase == RunPhase::kRunning && now >= run.next_pace_at;
     if (!due) continue;
     run.next_pace_at = now + kCallRetryInterval;
+    if (run.pace_sent_at == MonotonicTime{}) run.pace_sent_at = now;
     out.push_back({MakeCall(table, table.lease_until), task, run.order.run,
                    run.requested_pace});
   }
@@ -719,7 +731,6 @@
 
 void FinishPaceCall(RunTable& table, MonotonicTime now, const PaceCall& call,
                     const CallResult& result) {
-  (void)now;
   if (result.outcome == CallOutcome::kFenced) {
     HandleFencedCall(table, call.call.fencing);
   }
@@ -729,6 +740,7 @@
   if (it == table.runs.end() || it->second.order.run != call.run) return;
   if (unanswered) it->second.pace = kUnknownPace;
   if (result.outcome != CallOutcome::kOk) return;
+  NoteConfirmedPace(table, now, it->second, call.percent);
   it->second.pace = call.percent;
   // A newer speed limit may be sent without waiting for the retry delay.
   it->second.next_pace_at = {};
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -39,12 +39,20 @@
   bool stop_requested = false;
   MonotonicTime next_stop_at{};
   int64_t requested_pace = 100;
+  /// When `requested_pace` last changed, and when it was first sent since.
+  MonotonicTime pace_requested_at{};
+  MonotonicTime pace_sent_at{};
   /// Speed limit in force, in percent of full speed; negative if unknown.
   int64_t pace = 100;
   MonotonicTime next_pace_at{};
   std::string checkpoint;
   int64_t percent = 0;
   int64_t measurement = -1;
+  /// Since when the listed tail latency has exceeded the target; zero if it
+  /// does not, or if the run has no known target.
+  MonotonicTime over_target_since{};
+  /// The missed target was logged when the allowed time had passed.
+  bool long_miss_logged = false;
   /// Report version of the last change.
   uint64_t version = 0;
   /// When measures or the checkpoint last increased `version`.
@@ -90,6 +98,29 @@
   Duration age{};
 };
 
+/// A speed limit to or from 0 that the worker has confirmed.
+struct PaceNote {
+  TaskKey task;
+  RunNumber run;
+  int64_t percent = 100;
+  /// Times since the limit was requested and since the first call with it.
+  Duration requested_for{};
+  Duration sent_for{};
+  /// The longest time for which a task on the VM has missed its target.
+  Duration missed_for{};
+};
+
+/// A task that missed its target while fillers ran beside it.
+struct LongMissNote {
+  TaskKey task;
+  RunNumber run;
+  int64_t tail_ms = 0;
+  int64_t target_ms = 0;
+  Duration missed_for{};
+  /// Fillers that are not known to be paused.
+  int64_t fillers_at_work = 0;
+};
+
 /// The worker's announcement of itself.
 struct WorkerHello {
   WorkerReport worker;
@@ -190,6 +221,10 @@
   std::deque<TaskKey> ended_runs_recorded;
   /// For the log; the caller removes them.
   std::vector<SettledStart> settled_starts;
+  std::vector<PaceNote> pace_notes;
+  std::vector<LongMissNote> long_misses;
+  /// How long a task may miss its target beside fillers; 0 if unknown.
+  Duration tail_limit{};
   EvacuationNotice evacuation;
   /// Starts refused because the data centre is evacuated.
   uint64_t evacuation_refusals = 0;
--- /dev/null
+++ b/source/agent/tail_guard.cc
@@ -0,0 +1,66 @@
+#include "agent/tail_guard.h"
+
+#include <algorithm>
+
+namespace almondtally::sched {
+namespace {
+
+/// @return the number of fillers that are not known to be paused.
+int64_t CountFillersAtWork(const RunTable& table) {
+  return std::count_if(table.runs.begin(), table.runs.end(),
+                       [](const auto& it) {
+                         const AgentRun& run = it.second;
+                         return run.order.filler && run.pace != 0 &&
+                                run.phase == RunPhase::kRunning;
+                       });
+}
+
+}  // namespace
+
+void UpdateMissedTarget(AgentRun& run, MonotonicTime now) {
+  const int64_t target_ms = run.order.tail_target_ms;
+  if (target_ms <= 0 || run.measurement <= target_ms) {
+    run.over_target_since = {};
+    run.long_miss_logged = false;
+  } else if (run.over_target_since == MonotonicTime{}) {
+    run.over_target_since = now;
+  }
+}
+
+Duration MissedFor(const AgentRun& run, MonotonicTime now) {
+  if (run.over_target_since == MonotonicTime{}) return Duration(0);
+  return now - run.over_target_since;
+}
+
+Duration LongestMiss(const RunTable& table, MonotonicTime now) {
+  Duration longest{0};
+  for (const auto& [task, run] : table.runs) {
+    longest = std::max(longest, MissedFor(run, now));
+  }
+  return longest;
+}
+
+void NoteLongMisses(RunTable& table, MonotonicTime now) {
+  if (table.tail_limit <= Duration(0)) return;
+  if (LongestMiss(table, now) < table.tail_limit) return;
+  const int64_t at_work = CountFillersAtWork(table);
+  if (at_work == 0) return;
+  for (auto& [task, run] : table.runs) {
+    const Duration missed_for = MissedFor(run, now);
+    if (missed_for < table.tail_limit || run.long_miss_logged) continue;
+    run.long_miss_logged = true;
+    table.long_misses.push_back({task, run.order.run, run.measurement,
+                                 run.order.tail_target_ms, missed_for,
+                                 at_work});
+  }
+}
+
+void NoteConfirmedPace(RunTable& table, MonotonicTime now, const AgentRun& run,
+                       int64_t percent) {
+  if (run.pace == percent || (run.pace != 0 && percent != 0)) return;
+  table.pace_notes.push_back({run.order.task, run.order.run, percent,
+                              now - run.pace_requested_at,
+                              now - run.pace_sent_at, LongestMiss(table, now)});
+}
+
+}  // namespace almondtally::sched
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -373,6 +373,15 @@
       {Event::kFormerLease, "worker.former_lease", kMembership, kWarning,
        "the worker started again under its id, and may have taken a lease that "
        "was meant for its former process and lasts for this long"},
+      {Event::kPauseConfirmed, "filler.pause_confirmed", kMembership, kInfo,
+       "the worker confirmed that a filler pauses or goes on; with the times "
+       "since the agent was told and since it first called the worker, and the "
+       "longest time for which a target on the VM had been missed"},
+      {Event::kTargetMissedLong, "target.missed_beside_fillers", kMembership,
+       kWarning,
+       "by the agent's clock a serving task has missed its target for the "
+       "allowed time while fillers on its VM were not known to be paused; once "
+       "per missed target"},
       {Event::kSettingsReloaded, "settings.reloaded", kProcess, kInfo,
        "the settings were reloaded, with what changed"},
   };
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -127,6 +127,8 @@
   kStartSettled = 9308,
   kWorkerUnproven = 9309,
   kFormerLease = 9310,
+  kPauseConfirmed = 9311,
+  kTargetMissedLong = 9312,
   kSettingsReloaded = 9401,
 };
 
--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -126,6 +126,7 @@
   request.life = vm.reporting_incarnation;
   request.worker = vm.worker.id;
   request.fencing_base = FencingBase(board_, vm);
+  request.tail_limit_ms = board_.tail_limit.count();
   request.evacuated = IsEvacuated(board_.evacuations, vm.data_centre);
   request.evacuated_as_of = board_.evacuations.reading.version.value;
   if (vm.reporting_incarnation != vm.life) return request;
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -453,6 +453,10 @@
   set("proof_age_ms",
       planning_ ? (loop_.now() - board_.ownership_proven_at).count() : -1);
   set("store_failed", store_failed_ ? 1 : 0);
+  const MissedTargets missed = CountMissedTargets(board_, loop_.now());
+  set("targets_missed", missed.runs);
+  set("target_missed_longest_ms", missed.longest.count());
+  set("fillers_paused", missed.fillers_paused);
   set("evacuated_data_centres", evacuations_.reading.data_centres.size());
   set("evacuations_outdated", IsOutdated(evacuations_, loop_.now()) ? 1 : 0);
 }
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -50,10 +50,12 @@
   std::string permit;
   /// Initial speed limit, in percent of full speed.
   int64_t pace = 100;
+  /// Target for the tail latency of a serving task; 0 if it has none.
+  int64_t tail_target_ms = 0;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartOrder, task, run, size,
                                                 filler, payload, checkpoint,
-                                                permit, pace)
+                                                permit, pace, tail_target_ms)
 
 /// Tells an agent to stop a run.
 struct StopOrder {
@@ -77,9 +79,11 @@
   RunNumber run;
   Resources size;
   bool filler = false;
+  /// As in StartOrder.
+  int64_t tail_target_ms = 0;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunSize, task, run, size,
-                                                filler)
+                                                filler, tail_target_ms)
 
 /// Sent by the planner to an agent: lease, orders and acknowledgements.
 struct SyncRequest {
@@ -98,6 +102,9 @@
   /// `stamp + kLeaseGrantDuration`.
   AgentTime stamp;
   int64_t grant_ms = 0;
+  /// How long a serving task may miss its target beside fillers; 0 if the
+  /// planner does not say.
+  int64_t tail_limit_ms = 0;
   /// Number of this batch of orders; 0 if there are none.
   uint64_t batch = 0;
   std::vector<StartOrder> starts;
@@ -119,8 +126,9 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     SyncRequest, message_version, epoch, planner, planner_address, life, worker,
-    fencing_base, stamp, grant_ms, batch, starts, stops, paces, sizes,
-    ends_recorded, evacuated, evacuated_as_of, seen_version, seen_end, wait_ms)
+    fencing_base, stamp, grant_ms, tail_limit_ms, batch, starts, stops, paces,
+    sizes, ends_recorded, evacuated, evacuated_as_of, seen_version, seen_end,
+    wait_ms)
 
 enum class RunPhase : uint8_t { kStarting, kRunning, kStopping };
 NLOHMANN_JSON_SERIALIZE_ENUM(RunPhase, {{RunPhase::kStarting, "starting"},
@@ -140,10 +148,13 @@
   int64_t pace = 100;
   /// The agent does not know the size of the run.
   bool unsized = false;
+  /// How long the run has missed its target, by the agent's clock; 0 if it
+  /// meets it or has none, negative if the agent does not say.
+  int64_t over_target_ms = -1;
 };
 inline void to_json(nlohmann::json& out, const RunReport& it) {
-  out = {it.task,    it.run,         it.phase, it.checkpoint,
-         it.percent, it.measurement, it.pace,  it.unsized};
+  out = {it.task,        it.run,  it.phase,   it.checkpoint,    it.percent,
+         it.measurement, it.pace, it.unsized, it.over_target_ms};
 }
 inline void from_json(const nlohmann::json& in, RunReport& it) {
   in.at(0).get_to(it.task);
@@ -154,6 +165,10 @@
   in.at(5).get_to(it.measurement);
   in.at(6).get_to(it.pace);
   in.at(7).get_to(it.unsized);
+  // Agents of earlier versions do not know targets.
+  constexpr size_t kFieldsBeforeTargets = 8;
+  if (in.size() == kFieldsBeforeTargets) return;
+  in.at(kFieldsBeforeTargets).get_to(it.over_target_ms);
 }
 
 /// What is known of the start of a run whose worker crashed.
--- a/source/sched/orders.cc
+++ b/source/sched/orders.cc
@@ -54,7 +54,8 @@
     if (run.size_requested && run.known) {
       run.size_requested = false;
       run.size_batch = batch;
-      request.sizes.push_back({key, run.run, run.size, run.filler});
+      request.sizes.push_back(
+          {key, run.run, run.size, run.filler, run.tail_target_ms});
     }
     if (NeedsStop(run)) {
       run.stop_batch = batch;
@@ -78,7 +79,7 @@
     run.speed_limit_sent = run.speed_limit_wanted;
     request.starts.push_back({key, run.run, run.size, run.filler,
                               job->second.record.spec.payload, task->checkpoint,
-                              "", run.speed_limit_wanted});
+                              "", run.speed_limit_wanted, run.tail_target_ms});
     start_bytes += EncodedSize(request.starts.back());
   }
 }
--- a/source/sched/pace.cc
+++ b/source/sched/pace.cc
@@ -33,13 +33,26 @@
 
 enum class PauseScope : uint8_t { kNone, kSuspects, kAll };
 
-PauseScope ChoosePauseScope(const ShardState& shard, const VmEntity& vm,
-                            MonotonicTime now) {
-  Duration missed_for{0};
+/// The run on a VM that has missed its target for longest.
+struct LongestMiss {
+  TaskKey task;
+  RunNumber run;
+  Duration missed_for{};
+  int64_t by_agent_ms = -1;
+};
+
+LongestMiss FindLongestMiss(const VmEntity& vm, MonotonicTime now) {
+  LongestMiss out;
   for (const auto& [key, run] : vm.runs) {
     if (run.over_target_since == MonotonicTime{}) continue;
-    missed_for = std::max(missed_for, now - run.over_target_since);
+    const Duration missed_for = now - run.over_target_since;
+    if (!out.task.job.empty() && missed_for <= out.missed_for) continue;
+    out = {key, run.run, missed_for, run.over_target_ms};
   }
+  return out;
+}
+
+PauseScope ChoosePauseScope(const ShardState& shard, Duration missed_for) {
   if (missed_for >= shard.tail_limit - kPauseAllBefore) return PauseScope::kAll;
   if (missed_for >= shard.tail_limit - kPauseSuspectsBefore) {
     return PauseScope::kSuspects;
@@ -60,7 +73,8 @@
   for (auto& [id, vm] : shard.vms) {
     if (!vm.synced || now < vm.next_pace_at) continue;
     vm.next_pace_at = now + kSpeedLimitInterval;
-    const PauseScope scope = ChoosePauseScope(shard, vm, now);
+    const LongestMiss longest = FindLongestMiss(vm, now);
+    const PauseScope scope = ChoosePauseScope(shard, longest.missed_for);
     const auto serving = scope == PauseScope::kSuspects
                              ? ListServingTasks(shard, vm, std::nullopt)
                              : std::vector<ServingTask>();
@@ -79,8 +93,13 @@
     if (changed == 0) continue;
     Decision decision;
     decision.kind = Decision::Kind::kPaced;
+    decision.task = longest.task;
+    decision.run = longest.run;
     decision.vm = id;
-    decision.outcome = std::to_string(paused) + " fillers paused";
+    decision.outcome = std::to_string(paused) +
+                       " fillers paused, missed_by_agent_ms=" +
+                       std::to_string(longest.by_agent_ms);
+    decision.age_ms = longest.missed_for.count();
     decision.reason =
         scope == PauseScope::kNone ? "all tail latencies within target"
         : scope == PauseScope::kSuspects
@@ -90,6 +109,19 @@
   }
 }
 
+MissedTargets CountMissedTargets(const ShardState& shard, MonotonicTime now) {
+  MissedTargets out;
+  for (const auto& [id, vm] : shard.vms) {
+    for (const auto& [key, run] : vm.runs) {
+      if (run.filler && run.speed_limit_wanted == 0) ++out.fillers_paused;
+      if (run.over_target_since == MonotonicTime{}) continue;
+      ++out.runs;
+      out.longest = std::max(out.longest, now - run.over_target_since);
+    }
+  }
+  return out;
+}
+
 /// @return true if another VM could run a paused filler at nearly full speed.
 bool CanRunElsewhere(const ShardState& shard, MonotonicTime now,
                      const VmEntity& here, const TaskKey& key,
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -294,6 +294,7 @@
   run.phase = report.phase;
   run.percent = report.percent;
   run.measurement = report.measurement;
+  run.over_target_ms = report.over_target_ms;
   run.speed_limit_sent = report.pace;
   const StepSpec* step = FindStep(shard, report.task);
   if (step != nullptr && !run.known) {
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -152,6 +152,9 @@
   MonotonicTime paused_since{};
   /// For a serving task: since when its tail latency has exceeded its target.
   MonotonicTime over_target_since{};
+  /// How long the target had been missed by the agent's clock in the latest
+  /// report; negative if the agent does not say.
+  int64_t over_target_ms = -1;
   /// Value of `over_target_since` that was last logged.
   MonotonicTime over_target_logged{};
   /// For a serving task: last measured tail latency, divided by its target.
@@ -418,6 +421,16 @@
 void ApplyEvacuations(ShardState& shard, MonotonicTime now, Decisions& log);
 /// Assigns idle tasks of ready steps to VMs.
 void PlaceTasks(ShardState& shard, MonotonicTime now, Decisions& log);
+/// For metrics.
+struct MissedTargets {
+  /// Serving tasks that miss their target, and the longest time for which one
+  /// has.
+  int64_t runs = 0;
+  Duration longest{};
+  /// Fillers that are to be paused.
+  int64_t fillers_paused = 0;
+};
+MissedTargets CountMissedTargets(const ShardState& shard, MonotonicTime now);
 /// Updates the speed limits of the fillers that share a VM with serving tasks.
 void UpdateFillerSpeedLimits(ShardState& shard, MonotonicTime now,
                              Decisions& log);
--- a/source/sched/waiting.cc
+++ b/source/sched/waiting.cc
@@ -272,9 +272,12 @@
       decision.task = key;
       decision.vm = id;
       decision.run = run.run;
+      decision.outcome = "tail_ms=" + std::to_string(run.measurement) +
+                         " target_ms=" + std::to_string(run.tail_target_ms);
       if (run.over_target_since != MonotonicTime{}) {
         decision.kind = Decision::Kind::kOverTarget;
         decision.reason = DescribeFillers(shard, vm, run.image);
+        decision.age_ms = std::max<int64_t>(0, run.over_target_ms);
       } else {
         decision.kind = Decision::Kind::kWithinTarget;
         decision.age_ms = (vm.last_report_at - run.over_target_logged).count();
