A missed target counts on when planners change, and agents pause fillers themselves

Callers saw latency-critical tasks over their target for the 5 s that users bear, because of batch tasks beside them.

Cause: the allowed time was kept in the planner's memory alone (over_target_since). A planner that took over counted anew from its first report, so that a target could be missed for up to twice the allowed time, and while no planner reached a VM nobody paused its fillers, although its agent had the measures and reached the worker.

An unanswered limit is repeated as soon as its call has ended, instead of 500 ms after it began.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -291,6 +291,14 @@
                                  {"sent_ms", it.sent_for.count()},
                                  {"missed_ms", it.missed_for.count()}});
   }
+  for (const HoldNote& it : std::exchange(table_.hold_notes, {})) {
+    if (it.holds) ++filler_holds_;
+    Log(Event::kFillersHeld,
+        {{"held", it.holds ? "yes" : "no"},
+         {"fillers", it.fillers},
+         {"missed_ms", it.missed_for.count()},
+         {"planner_age_ms", (loop_.now() - table_.last_grant_at).count()}});
+  }
   for (const LongMissNote& it : std::exchange(table_.long_misses, {})) {
     ++targets_missed_long_;
     Log(Event::kTargetMissedLong, {{"task", ToString(it.task)},
@@ -353,6 +361,7 @@
   set("worker_responsive", table_.worker.responsive ? 1 : 0);
   set("epoch", table_.epoch.value);
   set("target_missed_longest_ms", LongestMiss(table_, now).count());
+  set("filler_holds", filler_holds_);
   set("targets_missed_beside_fillers", targets_missed_long_);
   set("evacuated", table_.evacuation.evacuated ? 1 : 0);
   set("evacuation_refusals", table_.evacuation_refusals);
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -79,6 +79,8 @@
   uint64_t renewal_generation_ = 0;
   /// Cases of a target missed for the allowed time beside fillers at work.
   uint64_t targets_missed_long_ = 0;
+  /// How often the agent began to keep fillers paused by itself.
+  uint64_t filler_holds_ = 0;
   bool row_written_ = false;
   bool row_write_in_flight_ = false;
   MonotonicTime next_row_check_at_{};
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -400,6 +400,9 @@
     run.order.run = listed.run;
     run.size_known = false;
     run.start_sent_at = now;
+    // An earlier process of the agent may have paused it.
+    run.pace = kUnknownPace;
+    run.requested_pace = kUnknownPace;
   }
   if (run.order.run != listed.run) return;
   const bool started = is_new || run.phase == RunPhase::kStarting;
@@ -600,7 +603,7 @@
     if (!out.complete && run.version <= request.seen_version) continue;
     out.runs.push_back({task, run.order.run, run.phase, run.checkpoint,
                         run.percent, run.measurement, run.pace, !run.size_known,
-                        MissedFor(run, now).count()});
+                        MissedFor(run, now).count(), IsHeld(table, run)});
   }
   const uint64_t seen_end = known ? request.seen_end : 0;
   for (const UnrecordedEnd& end : table.ends) {
@@ -715,16 +718,18 @@
 }
 
 std::vector<PaceCall> BeginPaceCalls(RunTable& table, MonotonicTime now) {
+  UpdateFillerHold(table, now);
   NoteLongMisses(table, now);
   std::vector<PaceCall> out;
   for (auto& [task, run] : table.runs) {
-    const bool due = run.pace != run.requested_pace &&
-                     run.phase == RunPhase::kRunning && now >= run.next_pace_at;
+    const int64_t wanted = WantedPace(table, run);
+    const bool due = run.pace != wanted && run.phase == RunPhase::kRunning &&
+                     now >= run.next_pace_at;
     if (!due) continue;
     run.next_pace_at = now + kCallRetryInterval;
     if (run.pace_sent_at == MonotonicTime{}) run.pace_sent_at = now;
-    out.push_back({MakeCall(table, table.lease_until), task, run.order.run,
-                   run.requested_pace});
+    out.push_back(
+        {MakeCall(table, table.lease_until), task, run.order.run, wanted});
   }
   return out;
 }
@@ -738,7 +743,11 @@
   if (unanswered && call.call.fencing >= table.fencing) RaiseFencing(table);
   const auto it = table.runs.find(call.task);
   if (it == table.runs.end() || it->second.order.run != call.run) return;
-  if (unanswered) it->second.pace = kUnknownPace;
+  if (unanswered) {
+    it->second.pace = kUnknownPace;
+    // The call has taken its time already.
+    it->second.next_pace_at = now;
+  }
   if (result.outcome != CallOutcome::kOk) return;
   NoteConfirmedPace(table, now, it->second, call.percent);
   it->second.pace = call.percent;
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -38,6 +38,8 @@
   MonotonicTime confirmed_at{};
   bool stop_requested = false;
   MonotonicTime next_stop_at{};
+  /// As ordered by the planner; negative before an order for a run that this
+  /// process found on the worker.
   int64_t requested_pace = 100;
   /// When `requested_pace` last changed, and when it was first sent since.
   MonotonicTime pace_requested_at{};
@@ -110,6 +112,13 @@
   Duration missed_for{};
 };
 
+/// The agent has begun or ceased to keep the fillers paused.
+struct HoldNote {
+  bool holds = false;
+  int64_t fillers = 0;
+  Duration missed_for{};
+};
+
 /// A task that missed its target while fillers ran beside it.
 struct LongMissNote {
   TaskKey task;
@@ -225,6 +234,10 @@
   std::vector<LongMissNote> long_misses;
   /// How long a task may miss its target beside fillers; 0 if unknown.
   Duration tail_limit{};
+  /// The agent keeps all fillers paused, whatever the planner orders; see
+  /// agent/tail_guard.h.
+  bool holds_fillers = false;
+  std::vector<HoldNote> hold_notes;
   EvacuationNotice evacuation;
   /// Starts refused because the data centre is evacuated.
   uint64_t evacuation_refusals = 0;
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -382,6 +382,10 @@
        "by the agent's clock a serving task has missed its target for the "
        "allowed time while fillers on its VM were not known to be paused; once "
        "per missed target"},
+      {Event::kFillersHeld, "fillers.held", kMembership, kWarning,
+       "the agent itself pauses the fillers of its VM, or ceases to: a target "
+       "was missed almost until the end of the allowed time; missed is how "
+       "long, planner age the time since a planner last granted a lease"},
       {Event::kSettingsReloaded, "settings.reloaded", kProcess, kInfo,
        "the settings were reloaded, with what changed"},
   };
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -129,6 +129,7 @@
   kFormerLease = 9310,
   kPauseConfirmed = 9311,
   kTargetMissedLong = 9312,
+  kFillersHeld = 9313,
   kSettingsReloaded = 9401,
 };
 
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -151,10 +151,12 @@
   /// How long the run has missed its target, by the agent's clock; 0 if it
   /// meets it or has none, negative if the agent does not say.
   int64_t over_target_ms = -1;
+  /// The agent itself keeps this filler paused, whatever it was ordered.
+  bool held = false;
 };
 inline void to_json(nlohmann::json& out, const RunReport& it) {
-  out = {it.task,        it.run,  it.phase,   it.checkpoint,    it.percent,
-         it.measurement, it.pace, it.unsized, it.over_target_ms};
+  out = {it.task,        it.run,  it.phase,   it.checkpoint,     it.percent,
+         it.measurement, it.pace, it.unsized, it.over_target_ms, it.held};
 }
 inline void from_json(const nlohmann::json& in, RunReport& it) {
   in.at(0).get_to(it.task);
@@ -167,8 +169,9 @@
   in.at(7).get_to(it.unsized);
   // Agents of earlier versions do not know targets.
   constexpr size_t kFieldsBeforeTargets = 8;
-  if (in.size() == kFieldsBeforeTargets) return;
+  if (in.size() <= kFieldsBeforeTargets + 1) return;
   in.at(kFieldsBeforeTargets).get_to(it.over_target_ms);
+  in.at(kFieldsBeforeTargets + 1).get_to(it.held);
 }
 
 /// What is known of the start of a run whose worker crashed.
--- a/source/sched/orders.cc
+++ b/source/sched/orders.cc
@@ -31,7 +31,7 @@
 }
 
 bool NeedsPace(const VmRun& run) {
-  return run.seen && run.phase == RunPhase::kRunning &&
+  return run.filler && run.seen && run.phase == RunPhase::kRunning &&
          run.speed_limit_wanted != run.speed_limit_sent;
 }
 
--- a/source/sched/pace.cc
+++ b/source/sched/pace.cc
@@ -52,7 +52,15 @@
   return out;
 }
 
-PauseScope ChoosePauseScope(const ShardState& shard, Duration missed_for) {
+bool HoldsFillers(const VmEntity& vm) {
+  return std::any_of(vm.runs.begin(), vm.runs.end(),
+                     [](const auto& it) { return it.second.held_by_agent; });
+}
+
+PauseScope ChoosePauseScope(const ShardState& shard, const VmEntity& vm,
+                            Duration missed_for) {
+  // The agent counts from the listings, so that its count may be ahead.
+  if (HoldsFillers(vm)) return PauseScope::kAll;
   if (missed_for >= shard.tail_limit - kPauseAllBefore) return PauseScope::kAll;
   if (missed_for >= shard.tail_limit - kPauseSuspectsBefore) {
     return PauseScope::kSuspects;
@@ -74,7 +82,7 @@
     if (!vm.synced || now < vm.next_pace_at) continue;
     vm.next_pace_at = now + kSpeedLimitInterval;
     const LongestMiss longest = FindLongestMiss(vm, now);
-    const PauseScope scope = ChoosePauseScope(shard, longest.missed_for);
+    const PauseScope scope = ChoosePauseScope(shard, vm, longest.missed_for);
     const auto serving = scope == PauseScope::kSuspects
                              ? ListServingTasks(shard, vm, std::nullopt)
                              : std::vector<ServingTask>();
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -25,6 +25,8 @@
 /// How long tasks go to other VMs after a start that a VM did not carry out,
 /// unless it carries out one meanwhile.
 constexpr Duration kAvoidAfterRefusedStart{4'000};
+/// A count of an agent above this is not believed in full.
+constexpr Duration kLongestMissBelieved{600'000};
 /// Delay before a lasting task that failed is restarted.
 constexpr Duration kLastingRestartDelay{50};
 
@@ -275,6 +277,12 @@
   if (copy) LogCopyOutcome(now, *job, *task, *copy, vm.id, end, log);
 }
 
+/// @return how long a target had been missed when the report was made.
+Duration MissedBefore(const RunReport& report) {
+  return Duration(std::clamp<int64_t>(report.over_target_ms, 0,
+                                      kLongestMissBelieved.count()));
+}
+
 /// Updates the planner's view of a reported run. The run becomes the current
 /// run of an idle task, and is stopped if the task does not need it.
 void ProcessRun(ShardState& shard, MonotonicTime now, VmEntity& vm,
@@ -295,6 +303,7 @@
   run.percent = report.percent;
   run.measurement = report.measurement;
   run.over_target_ms = report.over_target_ms;
+  run.held_by_agent = report.held;
   run.speed_limit_sent = report.pace;
   const StepSpec* step = FindStep(shard, report.task);
   if (step != nullptr && !run.known) {
@@ -304,8 +313,9 @@
   if (step != nullptr && step->tail_target_ms > 0) {
     const bool over_target = run.measurement > step->tail_target_ms;
     if (!over_target) run.over_target_since = {};
+    // This planner may not have been the one that heard of it first.
     if (over_target && run.over_target_since == MonotonicTime{})
-      run.over_target_since = now;
+      run.over_target_since = now - MissedBefore(report);
   }
   JobEntity* job = FindJob(shard, report.task.job);
   TaskEntity* task = FindReportedTask(shard, now, report.task);
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -155,6 +155,8 @@
   /// How long the target had been missed by the agent's clock in the latest
   /// report; negative if the agent does not say.
   int64_t over_target_ms = -1;
+  /// The agent itself keeps this filler paused.
+  bool held_by_agent = false;
   /// Value of `over_target_since` that was last logged.
   MonotonicTime over_target_logged{};
   /// For a serving task: last measured tail latency, divided by its target.
--- a/tests/sched/interference_test.cc
+++ b/tests/sched/interference_test.cc
@@ -159,6 +159,48 @@
   CHECK(setup.speed_limit("calm") == 100);
 }
 
+// Issue 56: a planner that takes over counted a missed target anew.
+TEST_CASE("a missed target counts from when its agent first saw it") {
+  MissedTarget setup({"calm"});
+  SyncReport report = Report(*setup.vm, 32'000);
+  RunReport web = Running(Key("web", 0, 0), RunNumber(1));
+  web.measurement = 19;
+  web.over_target_ms = 2'400;
+  report.runs = {web};
+  Decisions log;
+  const MonotonicTime now = kAfterFillerWait + Duration(100);
+  ApplyReport(setup.shard, now, *setup.vm, report, log);
+  const VmRun& run = setup.vm->runs.at(Key("web", 0, 0));
+  CHECK(run.over_target_since == now - Duration(2'400));
+  UpdateFillerSpeedLimits(setup.shard, now, log);
+  CHECK(setup.speed_limit("calm") == 0);
+  // Later counts do not move the beginning.
+  setup.Miss(Duration(200));
+  CHECK(run.over_target_since == now - Duration(2'400));
+}
+
+TEST_CASE("fillers that the agent holds stay paused until it ceases to") {
+  MissedTarget setup({"calm"});
+  RunReport held = Running(Key("calm", 0, 0), RunNumber(1));
+  held.pace = 0;
+  held.held = true;
+  const auto report = [&](int64_t at_ms) {
+    SyncReport out = Report(*setup.vm, 32'000);
+    out.runs = {held};
+    Decisions log;
+    const MonotonicTime now = kAfterFillerWait + Duration(at_ms);
+    ApplyReport(setup.shard, now, *setup.vm, out, log);
+    UpdateFillerSpeedLimits(setup.shard, now, log);
+  };
+  report(0);
+  CHECK(setup.speed_limit("calm") == 0);
+  CHECK_FALSE(HasUnsentOrders(*setup.vm));
+  held.held = false;
+  report(200);
+  CHECK(setup.speed_limit("calm") == 100);
+  CHECK(HasUnsentOrders(*setup.vm));
+}
+
 // Issue 42, the same class: the last report of a silent VM counted as room.
 TEST_CASE("a paused filler does not move to a silent VM") {
   MissedTarget setup({"calm"});
