--- a/tests/planner/missed_target_test.cc
+++ b/tests/planner/missed_target_test.cc
@@ -123,5 +123,31 @@
   }
 }
 
+// The measure is a rough figure in whole milliseconds.
+TEST_CASE("measures at the target ended a missed target") {
+  for (int64_t after = 500; after <= 3'500; after += 500) {
+    CAPTURE(after);
+    MissedTargetReplay replay;
+    replay.disturbed = true;
+    replay.Advance(Duration(after));
+    replay.wrong_listings = 2;
+    replay.wrong_measure_ms = 18;
+    replay.Advance(kLong);
+    CHECK(replay.longest_miss() <= kLimit);
+  }
+}
+
+TEST_CASE("one report of a met target began the allowed time anew") {
+  for (int64_t after = 500; after <= 3'500; after += 500) {
+    CAPTURE(after);
+    MissedTargetReplay replay;
+    replay.disturbed = true;
+    replay.Advance(Duration(after));
+    replay.wrong_listings = 1;
+    replay.Advance(kLong);
+    CHECK(replay.longest_miss() <= kLimit);
+  }
+}
+
 }  // namespace
 }  // namespace almondtally::sched
