--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -52,6 +52,7 @@
 
   void Renew();
   void LogSettledStarts();
+  void LogMissedTargets();
   void SendWorkerCalls();
   void AnswerPendingSyncs();
   void Answer(const Exchange& exchange, const SyncRequest& request);
@@ -80,6 +81,10 @@
   MonotonicTime renewal_wait_end_{};
   /// Number of the newest renewal; results of older ones are ignored.
   uint64_t renewal_generation_ = 0;
+  /// Cases of a target missed for the allowed time beside fillers at work.
+  uint64_t targets_missed_long_ = 0;
+  /// How often the agent began to keep fillers paused by itself.
+  uint64_t filler_holds_ = 0;
   Registration registration_;
 };
 
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "agent/former_lease.h"
+#include "agent/tail_guard.h"
 
 namespace almondtally::sched {
 
@@ -269,6 +270,7 @@
   run.order_expires_at = expires_at;
   run.checkpoint = order.checkpoint;
   run.requested_pace = order.pace;
+  run.pace_requested_at = now;
   MarkChanged(table, table.runs[order.task] = std::move(run));
 }
 
@@ -320,6 +322,7 @@
     if (it == table.runs.end() || it->second.order.run != size.run) continue;
     it->second.order.size = size.size;
     it->second.order.filler = size.filler;
+    it->second.order.tail_target_ms = size.tail_target_ms;
     it->second.size_known = true;
     MarkChanged(table, it->second);
   }
@@ -327,7 +330,10 @@
   for (const SpeedLimitOrder& order : request.paces) {
     const auto it = table.runs.find(order.task);
     if (it == table.runs.end() || it->second.order.run != order.run) continue;
+    if (it->second.requested_pace == order.percent) continue;
     it->second.requested_pace = order.percent;
+    it->second.pace_requested_at = now;
+    it->second.pace_sent_at = {};
   }
   for (const StartOrder& order : request.starts) {
     ApplyStartOrder(table, now, order, OrderExpiry(request), request.worker);
@@ -397,6 +403,9 @@
     run.order.run = listed.run;
     run.size_known = false;
     run.start_sent_at = now;
+    // An earlier process of the agent may have paused it.
+    run.pace = kUnknownPace;
+    run.requested_pace = kUnknownPace;
   }
   if (run.order.run != listed.run) return;
   const bool started = is_new || run.phase == RunPhase::kStarting;
@@ -412,6 +421,7 @@
   run.checkpoint = listed.checkpoint;
   run.percent = listed.percent;
   run.measurement = listed.measurement;
+  UpdateMissedTarget(table, run, now);
   const bool due = now - run.measures_reported_at >= kMeasureReportInterval;
   if (!started && !(due && (checkpoint_changed || measures_changed))) return;
   run.measures_reported_at = now;
@@ -571,6 +581,9 @@
   if (request.epoch < table.epoch) return false;
   FollowPlanner(table, request.epoch, request.planner, request.planner_address);
   if (request.grant_ms > 0) table.last_grant_at = now;
+  if (request.tail_limit_ms > 0) {
+    table.tail_limit = Duration(request.tail_limit_ms);
+  }
   AdoptNotice(table.evacuation,
               {request.evacuated, RowVersion(request.evacuated_as_of)});
   if (request.life != table.life) return true;
@@ -612,8 +625,8 @@
   for (const auto& [task, run] : table.runs) {
     if (!out.complete && run.version <= request.seen_version) continue;
     out.runs.push_back({task, run.order.run, run.phase, run.checkpoint,
-                        run.percent, run.measurement, run.pace,
-                        !run.size_known});
+                        run.percent, run.measurement, run.pace, !run.size_known,
+                        MissedFor(run, now).count(), IsHeld(table, run)});
   }
   const uint64_t seen_end = known ? request.seen_end : 0;
   for (const UnrecordedEnd& end : table.ends) {
@@ -728,21 +741,24 @@
 }
 
 std::vector<PaceCall> BeginPaceCalls(RunTable& table, MonotonicTime now) {
+  UpdateFillerHold(table, now);
+  NoteLongMisses(table, now);
   std::vector<PaceCall> out;
   for (auto& [task, run] : table.runs) {
-    const bool due = run.pace != run.requested_pace &&
-                     run.phase == RunPhase::kRunning && now >= run.next_pace_at;
+    const int64_t wanted = WantedPace(table, run);
+    const bool due = run.pace != wanted && run.phase == RunPhase::kRunning &&
+                     now >= run.next_pace_at;
     if (!due) continue;
     run.next_pace_at = now + kCallRetryInterval;
-    out.push_back({MakeCall(table, table.lease_until), task, run.order.run,
-                   run.requested_pace});
+    if (run.pace_sent_at == MonotonicTime{}) run.pace_sent_at = now;
+    out.push_back(
+        {MakeCall(table, table.lease_until), task, run.order.run, wanted});
   }
   return out;
 }
 
 void FinishPaceCall(RunTable& table, MonotonicTime now, const PaceCall& call,
                     const CallResult& result) {
-  (void)now;
   if (result.outcome == CallOutcome::kFenced) {
     HandleFencedCall(table, call.call.fencing);
   }
@@ -750,8 +766,13 @@
   if (unanswered && call.call.fencing >= table.fencing) RaiseFencing(table);
   const auto it = table.runs.find(call.task);
   if (it == table.runs.end() || it->second.order.run != call.run) return;
-  if (unanswered) it->second.pace = kUnknownPace;
+  if (unanswered) {
+    it->second.pace = kUnknownPace;
+    // The call has taken its time already.
+    it->second.next_pace_at = now;
+  }
   if (result.outcome != CallOutcome::kOk) return;
+  NoteConfirmedPace(table, now, it->second, call.percent);
   it->second.pace = call.percent;
   // A newer speed limit may be sent without waiting for the retry delay.
   it->second.next_pace_at = {};
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -38,13 +38,27 @@
   MonotonicTime confirmed_at{};
   bool stop_requested = false;
   MonotonicTime next_stop_at{};
+  /// As ordered by the planner; negative before an order for a run that this
+  /// process found on the worker.
   int64_t requested_pace = 100;
+  /// When `requested_pace` last changed, and when it was first sent since.
+  MonotonicTime pace_requested_at{};
+  MonotonicTime pace_sent_at{};
   /// Speed limit in force, in percent of full speed; negative if unknown.
   int64_t pace = 100;
   MonotonicTime next_pace_at{};
   std::string checkpoint;
   int64_t percent = 0;
   int64_t measurement = -1;
+  /// Since when the listed tail latency has exceeded the target; zero if it
+  /// does not, or if the run has no known target.
+  MonotonicTime over_target_since{};
+  /// When the target was listed as met after that, and since when it had been
+  /// missed; zero if the missed target has ended for certain.
+  MonotonicTime met_since{};
+  MonotonicTime missed_before{};
+  /// The missed target was logged when the allowed time had passed.
+  bool long_miss_logged = false;
   /// Report version of the last change.
   uint64_t version = 0;
   /// When measures or the checkpoint last increased `version`.
@@ -90,6 +104,37 @@
   Duration age{};
 };
 
+/// A speed limit to or from 0 that the worker has confirmed.
+struct PaceNote {
+  TaskKey task;
+  RunNumber run;
+  int64_t percent = 100;
+  /// Times since the limit was requested and since the first call with it;
+  /// negative if another one has been requested meanwhile.
+  Duration requested_for{-1};
+  Duration sent_for{-1};
+  /// The longest time for which a task on the VM has missed its target.
+  Duration missed_for{};
+};
+
+/// The agent has begun or ceased to keep the fillers paused.
+struct HoldNote {
+  bool holds = false;
+  int64_t fillers = 0;
+  Duration missed_for{};
+};
+
+/// A task that missed its target while fillers ran beside it.
+struct LongMissNote {
+  TaskKey task;
+  RunNumber run;
+  int64_t tail_ms = 0;
+  int64_t target_ms = 0;
+  Duration missed_for{};
+  /// Fillers that are not known to be paused.
+  int64_t fillers_at_work = 0;
+};
+
 /// The worker's announcement of itself.
 struct WorkerHello {
   WorkerReport worker;
@@ -196,6 +241,14 @@
   std::deque<TaskKey> ended_runs_recorded;
   /// For the log; the caller removes them.
   std::vector<SettledStart> settled_starts;
+  std::vector<PaceNote> pace_notes;
+  std::vector<LongMissNote> long_misses;
+  /// How long a task may miss its target beside fillers; 0 if unknown.
+  Duration tail_limit{};
+  /// The agent keeps all fillers paused, whatever the planner orders; see
+  /// agent/tail_guard.h.
+  bool holds_fillers = false;
+  std::vector<HoldNote> hold_notes;
   EvacuationNotice evacuation;
   /// Starts refused because the data centre is evacuated.
   uint64_t evacuation_refusals = 0;
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -127,7 +127,10 @@
   kStartSettled = 9308,
   kWorkerUnproven = 9309,
   kFormerLease = 9310,
-  kFormerLeaseRecorded = 9311,
+  kPauseConfirmed = 9311,
+  kTargetMissedLong = 9312,
+  kFillersHeld = 9313,
+  kFormerLeaseRecorded = 9314,
   kSettingsReloaded = 9401,
 };
 
