--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -109,9 +109,10 @@
   TaskKey task;
   RunNumber run;
   int64_t percent = 100;
-  /// Times since the limit was requested and since the first call with it.
-  Duration requested_for{};
-  Duration sent_for{};
+  /// Times since the limit was requested and since the first call with it;
+  /// negative if another one has been requested meanwhile.
+  Duration requested_for{-1};
+  Duration sent_for{-1};
   /// The longest time for which a task on the VM has missed its target.
   Duration missed_for{};
 };
--- a/source/agent/tail_guard.cc
+++ b/source/agent/tail_guard.cc
@@ -1,6 +1,7 @@
 #include "agent/tail_guard.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace almondtally::sched {
 namespace {
@@ -122,9 +123,13 @@
 void NoteConfirmedPace(RunTable& table, MonotonicTime now, const AgentRun& run,
                        int64_t percent) {
   if (run.pace == percent || (run.pace != 0 && percent != 0)) return;
-  table.pace_notes.push_back({run.order.task, run.order.run, percent,
-                              now - run.pace_requested_at,
-                              now - run.pace_sent_at, LongestMiss(table, now)});
+  PaceNote note{run.order.task, run.order.run, percent};
+  note.missed_for = LongestMiss(table, now);
+  if (run.pace_sent_at != MonotonicTime{}) {
+    note.requested_for = now - run.pace_requested_at;
+    note.sent_for = now - run.pace_sent_at;
+  }
+  table.pace_notes.push_back(std::move(note));
 }
 
 }  // namespace almondtally::sched
--- a/tests/agent/tail_guard_test.cc
+++ b/tests/agent/tail_guard_test.cc
@@ -216,6 +216,19 @@
   CHECK(vm.AnswerCalls() == std::vector<int64_t>{0});
 }
 
+// The time since an unset one was logged.
+TEST_CASE("a confirmed pause that is no longer wanted has no times") {
+  Vm vm;
+  vm.OrderPace(0);
+  const auto calls = vm.Calls();
+  REQUIRE(calls.size() == 1);
+  vm.OrderPace(100);
+  FinishPaceCall(vm.table, vm.now, calls[0], {});
+  REQUIRE(vm.table.pace_notes.size() == 1);
+  CHECK(vm.table.pace_notes[0].sent_for < Duration(0));
+  CHECK(vm.table.pace_notes[0].requested_for < Duration(0));
+}
+
 TEST_CASE("a pause that is not answered is repeated in the allowed time") {
   Vm vm;
   vm.MissUntil(Duration(3'800));
