A suspect is not tested beside tasks that have just started

Change: the suspect closes the VM to other tasks and is started there once no other task could be taken for the cause, or after 0.15 s. A VM that was closed in vain is not closed again for 1 s.

--- a/source/sched/suspect_placement.cc
+++ b/source/sched/suspect_placement.cc
@@ -10,6 +10,13 @@
 namespace almondtally::sched {
 namespace {
 
+/// How long a VM is closed to other tasks before a suspect starts there, if one
+/// of them was started so lately that a crash would make it a suspect. Longer
+/// than a start takes, and `kCrashSuspectWindow`.
+constexpr Duration kQuietWait{150};
+/// A VM that was closed in vain is not closed again for this long.
+constexpr Duration kQuietPause{1'000};
+
 /// @return the CPU, in thousandths, of the runs that a crash of the worker
 /// would end. Lasting tasks count more, since their users notice.
 int64_t LossOnCrash(const VmEntity& vm, const ShardState& shard) {
@@ -65,6 +72,20 @@
   return best;
 }
 
+/// Closes the VM to other tasks for a moment if one was started there lately.
+/// @return true if the suspect is to wait for that.
+bool WaitsForQuietVm(const ShardState& shard, MonotonicTime now,
+                     CandidateVm& candidate) {
+  if (!HasLateStart(shard, *candidate.vm, now)) return false;
+  MonotonicTime& closed_until = candidate.vm->reserved_for_suspects_until;
+  const bool has_waited =
+      closed_until <= now && now - closed_until < kQuietPause;
+  if (has_waited) return false;
+  if (closed_until <= now) closed_until = now + kQuietWait;
+  candidate.reserved_for_suspects = true;
+  return true;
+}
+
 }  // namespace
 
 void PlaceSuspects(ShardState& shard, MonotonicTime now,
@@ -91,7 +112,7 @@
     if (no_vm) continue;
     CandidateVm* const vm = ChooseVmOfSuspect(
         shard, now, pass, terms, spec, key, may_share ? limits.group_size : 1);
-    if (vm == nullptr) {
+    if (vm == nullptr || WaitsForQuietVm(shard, now, *vm)) {
       no_vm = true;
       continue;
     }
--- a/tests/sched/suspects_test.cc
+++ b/tests/sched/suspects_test.cc
@@ -538,6 +538,49 @@
   CHECK(VmOf(shard, task) == expected);
 }
 
+// Issue 39, BUDGET: if all VMs had late starts, a deadly task was tested beside
+// them, and its crash named up to seven others.
+TEST_CASE("a suspect waits until no other task could have crashed its worker") {
+  ShardState shard = NewBoard();
+  AddVms(shard, 2);
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  CrashOnce(shard, kNow, task, kOnlySuspect);
+  // The VM whose worker crashed is away.
+  VmEntity* vm = nullptr;
+  for (auto& [id, it] : shard.vms) {
+    const bool crashed = it.reserved_for_suspects_until > kNow;
+    it.worker.draining = crashed;
+    if (!crashed) vm = &it;
+  }
+  REQUIRE(vm != nullptr);
+  AcceptJob(shard, "late", {Step(1, 1'000)});
+  Place(shard, kNow + Duration(45));
+  REQUIRE(vm->runs.contains(Key("late", 0, 0)));
+  MonotonicTime now = kNow + Duration(60);
+  const auto place = [&] {
+    Place(shard, now);
+    return VmOf(shard, task) != nullptr;
+  };
+  CHECK_FALSE(place());
+  SUBCASE("it is started next") {
+    ReportAllRunning(shard, *vm, now);
+    now += Duration(50);
+    AcceptJob(shard, "later", {Step(1, 1'000)});
+    CHECK_FALSE(place());
+    CHECK(VmOf(shard, Key("later", 0, 0)) == nullptr);
+    now += Duration(60);
+    CHECK(place());
+    CHECK(VmOf(shard, Key("later", 0, 0)) == nullptr);
+  }
+  SUBCASE("it does not wait for a start that takes long") {
+    now += Duration(140);
+    CHECK_FALSE(place());
+    now += Duration(20);
+    CHECK(place());
+  }
+}
+
 // Placing the backlog on a restarted VM would lose it to the next crash.
 TEST_CASE("a VM whose worker crashed is kept free for suspects for a moment") {
   ShardState shard = NewBoard();
