Test: a planner takes over from one that knew of leases of a former process

No test played it with the real programs: restarted_worker_test cuts the executor only, and its planner lives on.

Seven VMs, whose executors are older than the longest lease. Three of them crash 0.4 s after they started tasks, with renewals and starts on their way, which their next processes carry out. The tasks are suspects; one is started again on such a VM. 2.2 s after the crash the agents are cut off from entries and store, the executors from all, and the planner is killed; its process is back 0.3 s later.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -204,6 +204,27 @@
             it.cut = False
 
 
+async def restart_with_held_calls(fleet, executor, away_s):
+    """An executor crashes; its next process, under the same id, carries out
+    the calls that are on their way."""
+    held, executor.held = executor.held or [], None
+    await fleet.crash(executor, away_s, False)
+    # Together: a renewal waits, and the agent's next one makes calls void.
+    await asyncio.gather(*(executor.carry_out(it) for it in held))
+
+
+async def cut_machines(fleet, executors, seconds, mode):
+    """Cuts agents off from the entries and the store, and their executors
+    from all. @param mode how the store is away."""
+    names = [it.name for it in executors]
+    pairs = fleet.network.between(names, [it.name for it in fleet.entries])
+    fleet.record.add("machines.cut", on=names, lease_left_ms=[
+        it.lease_left_ms() for it in executors])
+    with impaired(fleet, *names), fleet.store.away(names, mode), (
+            fleet.network.impaired(pairs, LinkFault("cut"))):
+        await asyncio.gather(*(it.cut_off(seconds) for it in executors))
+
+
 async def grey(fleet, rng):
     """More tasks fail."""
     with impaired(fleet, "grey"):
