Soak: restarted workers with late calls, machine cuts, the planner killed after

The general soak cut executors and agents one by one, its late calls carried no renewals, and nothing drew a takeover after a restart, so that no seed could show what the users saw.

Change: two faults more. restarted_worker: an executor with lasting tasks crashes; those that started its tasks next start again under their ids and carry out the calls on their way, renewals included; tasks take longer there; mostly (0.8) the machines are cut off 0.8 to 1.6 s later for 6 to 11 s, agent and executor together, and then mostly (0.7) the planner is killed. machine_cut cuts machines by itself. One or two of them begin 1 to 4 s before each storm, so that the planner is divided in the middle of it, and one restarted_worker follows the storms, for which traffic goes on for 8 s more. They are drawn apart: moments and kinds of a seed's other faults stay the same.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,6 +18,13 @@
 SPARED_SHARE = 0.7
 EVACUATED_S = (6, 12)
 EVACUATE_ALL_SHARE = 0.2
+# Of the restarted workers, and of those that are cut off.
+CUT_SHARE = 0.8
+KILLED_SHARE = 0.7
+MACHINE_CUT_S = (6, 11)
+RESTART_BEFORE_S = (1, 4)
+# Traffic goes on for this long after the storms.
+LAST_RESTART_S = 8
 
 
 @contextlib.contextmanager
@@ -170,14 +177,22 @@
             await executor.start()
 
 
-async def slow(fleet, rng):
-    chosen = rng.sample(fleet.executors, 2)
+@contextlib.contextmanager
+def slowed(fleet, rng, chosen):
+    """Tasks that start on some executors meanwhile take longer."""
     with impaired(fleet, *(it.name for it in chosen)):
         for it in chosen:
             it.slowness = rng.uniform(3, 7)
+        try:
+            yield
+        finally:
+            for it in chosen:
+                it.slowness = 1
+
+
+async def slow(fleet, rng):
+    with slowed(fleet, rng, rng.sample(fleet.executors, 2)):
         await asyncio.sleep(rng.uniform(3, 6))
-        for it in chosen:
-            it.slowness = 1
 
 
 async def unanswered(fleet, rng):
@@ -225,6 +240,52 @@
         await asyncio.gather(*(it.cut_off(seconds) for it in executors))
 
 
+def last_lasting_start(executor):
+    jobs = executor.cluster.history.jobs
+    return max((it.started for it in executor.runs.values()
+                if it.task.split(".")[0] in jobs
+                and jobs[it.task.split(".")[0]].lasting), default=0)
+
+
+async def restarted_worker(fleet, rng):
+    """Executors that have just started lasting tasks start again under their
+    ids, and carry out calls of their former processes. Mostly their machines
+    are cut off soon after, while long tasks run, and the planner is killed."""
+    able = [it for it in fleet.executors
+            if it.up and not it.draining and not it.retired]
+    if not able:
+        return
+    # Its lasting tasks start elsewhere, and are suspects after a crash there.
+    await fleet.crash(rng.choice(
+        [it for it in able if last_lasting_start(it)] or able),
+        rng.uniform(0.3, 0.6))
+    await asyncio.sleep(rng.uniform(0.2, 0.8))
+    chosen = sorted((it for it in able if it.up), key=last_lasting_start)
+    chosen = chosen[-rng.choice([1, 3, 5]):]
+    for it in chosen:
+        it.held = []
+    await asyncio.sleep(rng.uniform(0.1, 0.4))
+    with slowed(fleet, rng, chosen):
+        await asyncio.gather(*(restart_with_held_calls(
+            fleet, it, rng.uniform(0.2, 0.6)) for it in chosen))
+        await asyncio.sleep(rng.uniform(0.8, 1.6))
+    if rng.random() > CUT_SHARE:
+        return
+    cut_off = asyncio.ensure_future(machine_cut(fleet, rng, chosen))
+    if rng.random() < KILLED_SHARE:
+        await asyncio.sleep(rng.uniform(0, 0.7))
+        await on_program(fleet, rng, kill, fleet.planner())
+    await cut_off
+
+
+async def machine_cut(fleet, rng, chosen=None):
+    """Nothing reaches some machines."""
+    if chosen is None:
+        chosen = rng.sample(fleet.executors, rng.choice([1, 2, 3]))
+    await cut_machines(fleet, chosen, rng.uniform(*MACHINE_CUT_S),
+                       rng.choice(["reset", "silent"]))
+
+
 async def grey(fleet, rng):
     """More tasks fail."""
     with impaired(fleet, "grey"):
@@ -398,10 +459,17 @@
     links: 4, links_flap: 2,
 }
 
+RESTARTS = ((restarted_worker,), (restarted_worker, machine_cut),
+            (restarted_worker, restarted_worker), (machine_cut,))
+
 
-def plan(rng, seconds):
+def plan(rng, seconds, apart):
     """@return the moments and kinds of faults: storms with calm between. The
-    first storm begins with a split, and most others do."""
+    first storm begins with a split, and most others do.
+    @param apart draws the restarted workers and machine cuts, so that moments
+    and kinds of a seed's other faults stay the same. They begin before the
+    storms, while planners still place what the workers had run, and after
+    them."""
     at = rng.uniform(1, 4)
     out = [(at, split)]
     while at < seconds - 5:
@@ -412,7 +480,12 @@
             kind = rng.choices(list(FAULT_WEIGHTS),
                                list(FAULT_WEIGHTS.values()))[0]
             out.append((at + rng.uniform(0, length), kind))
+        for kind in apart.choice(RESTARTS):
+            out.append((max(0.5, at - apart.uniform(*RESTART_BEFORE_S)), kind))
         at += length + rng.uniform(*CALM_S)
+    # While no planner is divided from the store, so that the next one hears
+    # that a killed one has stopped.
+    out.append((seconds + apart.uniform(0, 2), restarted_worker))
     return sorted(out, key=lambda it: it[0])
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -49,7 +49,11 @@
     rng = random.Random(f"{options.site} {options.seed}")
     fleet = Fleet(folder, options.build, load.SITES[options.site], rng,
                   options.entries, options.vms)
-    planned = faults.plan(rng, options.seconds) if not options.calm else []
+    planned, seconds = [], options.seconds
+    if not options.calm:
+        planned = faults.plan(rng, seconds,
+                              random.Random(f"restarts {options.seed}"))
+        seconds += faults.LAST_RESTART_S
     fleet.record.add("run", seed=options.seed, site=options.site,
                      seconds=options.seconds)
     try:
@@ -61,7 +65,7 @@
             fleet, random.Random(f"evacuations {options.seed}"),
             0 if options.calm else options.seconds))
         await load.traffic(fleet, random.Random(rng.random()), fleet.site,
-                           options.seconds, options.rate)
+                           seconds, options.rate)
         await played
         await evacuated
         fleet.record.add("traffic.end")
@@ -111,7 +115,8 @@
     parser.add_argument("--build", required=True)
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--site", choices=load.SITES, default="etna")
-    parser.add_argument("--seconds", type=float, default=32)
+    parser.add_argument("--seconds", type=float, default=32,
+                        help="how long storms of faults begin")
     parser.add_argument("--rate", type=float, default=1,
                         help="factor on the jobs a second")
     parser.add_argument("--entries", type=int, default=3)
