A restarted agent knows no lease until it has asked, and its row is written in order

In each a run went on under a lease longer than the one that counted (TWICE), or a VM was useless (LOST).

Causes and changes, one class: what a process does not know yet was taken for "no". - A write of the VM's row without an answer took effect after a later one, and hid a lease. Writes expect the version of the row, and a write without an answer is followed by a read. - A restarted agent reported no longer lease before it had read its row, and a VM without a row counted as one without a former agent. An agent assumes at its start that a former process has sent calls. - An answer of the worker under a replaced planner's number ended the wait for late calls under its successor's. If the head row names a later planner, the wait begins anew. - An agent that could not read the store started nothing for as long. It waits for 7 s: a planner that had been replaced before its start has no proof of ownership then. - An unreadable head row counted as none. A row read again counted its lease anew.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -35,7 +35,7 @@
   table_.life = AgentIncarnation((random() >> kUnusedLifeBits) | 1);
   table_.started_at = loop_.now();
   table_.max_worker_lease = settings_.max_worker_lease;
-  BeginRegistration(table_);
+  BeginRegistration(table_, loop_.now());
 }
 
 void Agent::Start() {
@@ -72,13 +72,15 @@
 void Agent::WriteAgentRow() {
   const int64_t former_lease_ms = BeginRowWrite(registration_, table_);
   StoreTransaction rows;
+  rows.checks.push_back({RowKey(), registration_.row_version});
   rows.puts.push_back(
       {RowKey(), EncodeRow(AgentRow{ToString(settings_.peer),
                                     settings_.data_centre, former_lease_ms})});
   store_.commit(rows, [this, former_lease_ms](const StoreCommitResult& result) {
-    const bool committed = result.error == PlatformError::kNone;
-    FinishRowWrite(registration_, loop_.now(), former_lease_ms, committed);
-    if (!committed) return Log(Event::kStoreLost, {{"reason", result.text}});
+    FinishRowWrite(registration_, loop_.now(), former_lease_ms, result);
+    if (!registration_.row_written) {
+      return Log(Event::kStoreLost, {{"reason", result.text}});
+    }
     Log(Event::kAgentListed,
         {{"vm", settings_.vm.value},
          {"row_version", static_cast<int64_t>(result.version.value)},
--- a/source/agent/former_lease.cc
+++ b/source/agent/former_lease.cc
@@ -89,6 +89,7 @@
   RecordUnansweredLease(table, now,
                         (kMaxCallDelay + table.max_worker_lease).count());
   table.former_lease_end_ms = table.unanswered_lease_ms;
+  table.former_lease_recorded = false;
   table.renew_immediately = true;
 }
 
--- a/source/agent/registration.cc
+++ b/source/agent/registration.cc
@@ -30,22 +30,19 @@
   return registration.recorded_born_ms != table.worker_born_ms;
 }
 
-std::optional<AgentRow> FindRow(const StoreRows& rows, const StoreKey& key) {
-  JobReason why;
-  for (const StoreRow& row : rows.rows) {
-    if (row.at.key == key.key) return DecodeAgentRow(row.value, why);
-  }
-  return std::nullopt;
-}
-
-bool IsListed(const StoreRows& rows, const StoreKey& key) {
-  return std::any_of(rows.rows.begin(), rows.rows.end(),
-                     [&](const StoreRow& it) { return it.at.key == key.key; });
+const StoreRow* FindRow(const StoreRows& rows, const std::string& key) {
+  const auto it =
+      std::find_if(rows.rows.begin(), rows.rows.end(),
+                   [&](const StoreRow& row) { return row.at.key == key; });
+  return it == rows.rows.end() ? nullptr : &*it;
 }
 
 }  // namespace
 
-void BeginRegistration(RunTable& table) { table.awaits_registration = true; }
+void BeginRegistration(RunTable& table, MonotonicTime now) {
+  table.awaits_registration = true;
+  detail::AssumeFormerAgent(table, now);
+}
 
 RegistrationStep NextRegistrationStep(const Registration& registration,
                                       const RunTable& table,
@@ -83,15 +80,19 @@
     }
     return;
   }
-  const auto row = FindRow(*rows, key);
+  const StoreRow* const row = FindRow(*rows, key.key);
+  registration.row_version = row != nullptr ? row->version : RowVersion(0);
+  JobReason why;
+  const auto decoded = row != nullptr ? DecodeAgentRow(row->value, why)
+                                      : std::optional<AgentRow>();
   if (registration.row_read) {
-    registration.row_written = row.has_value();
+    registration.row_written =
+        decoded && decoded->former_lease_ms == registration.former_lease_ms;
     return;
   }
   registration.row_read = true;
-  registration.head_pending = true;
-  if (row) registration.former_lease_ms = row->former_lease_ms;
-  if (IsListed(*rows, key)) detail::AssumeFormerAgent(table, now);
+  if (table.awaits_registration) registration.head_pending = true;
+  if (decoded) registration.former_lease_ms = decoded->former_lease_ms;
 }
 
 int64_t BeginRowWrite(Registration& registration, const RunTable& table) {
@@ -105,14 +106,16 @@
 }
 
 void FinishRowWrite(Registration& registration, MonotonicTime now,
-                    int64_t former_lease_ms, bool committed) {
+                    int64_t former_lease_ms, const StoreCommitResult& result) {
   registration.call_in_flight = false;
-  registration.row_written = committed;
-  if (!committed) {
+  registration.row_written = result.error == PlatformError::kNone;
+  if (!registration.row_written) {
+    registration.row_read = false;
     registration.next_step_at = now + kStoreRetryDelay;
     registration.recorded_born_ms.reset();
     return;
   }
+  registration.row_version = result.version;
   registration.next_check_at = now + kPlannerSilence;
   registration.former_lease_ms = former_lease_ms;
 }
@@ -124,9 +127,21 @@
     registration.next_step_at = now + kStoreRetryDelay;
     return;
   }
+  const auto head = FindShardHead(*rows);
+  if (!head && FindRow(*rows, kHeadKey) != nullptr) {
+    registration.next_step_at = now + kStoreRetryDelay;
+    return;
+  }
   registration.head_pending = false;
-  if (const auto head = FindShardHead(*rows)) {
-    FollowPlanner(table, head->epoch, head->planner, head->address);
+  const PlannerEpoch previous_epoch = table.epoch;
+  if (head) FollowPlanner(table, head->epoch, head->planner, head->address);
+  if (table.awaits_registration && table.epoch > previous_epoch) {
+    // The worker may have answered under a lower number than calls have that
+    // are still on their way.
+    detail::AssumeFormerAgent(table, now);
+    table.process_fencing =
+        std::max(table.process_fencing, FirstFencing(table.epoch));
+    registration.recorded_born_ms.reset();
   }
   if (std::exchange(table.awaits_registration, false)) ++table.version;
   if (table.has_former_lease &&
--- a/source/agent/registration.h
+++ b/source/agent/registration.h
@@ -26,6 +26,9 @@
 struct Registration {
   /// The row was looked for since this process started.
   bool row_read = false;
+  /// Version of the row in the store; 0 if there is none. A write expects it,
+  /// so that one without an answer cannot take effect after a later one.
+  RowVersion row_version;
   /// The row is in the store as far as known, and what it says of leases.
   bool row_written = false;
   int64_t former_lease_ms = 0;
@@ -40,7 +43,7 @@
 };
 
 /// Prepares the registration of an agent that starts.
-void BeginRegistration(RunTable& table);
+void BeginRegistration(RunTable& table, MonotonicTime now);
 
 /// @return the step to begin now.
 RegistrationStep NextRegistrationStep(const Registration& registration,
@@ -58,7 +61,7 @@
 
 /// @param former_lease_ms as returned by BeginRowWrite.
 void FinishRowWrite(Registration& registration, MonotonicTime now,
-                    int64_t former_lease_ms, bool committed);
+                    int64_t former_lease_ms, const StoreCommitResult& result);
 
 /// @param rows of the table of head rows; empty if the store could not be read.
 void FinishHeadRead(Registration& registration, RunTable& table,
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -6,6 +6,7 @@
 
 #include "agent/former_lease.h"
 #include "agent/tail_guard.h"
+#include "sched/ownership.h"
 
 namespace almondtally::sched {
 
@@ -31,6 +32,11 @@
 constexpr Duration kCallRetryInterval{500};
 /// Minimum time between two reports of changed measures of a run.
 constexpr Duration kMeasureReportInterval{250};
+/// A planner that was replaced before this process started grants no leases for
+/// longer than this after the start: its proof of ownership is too old then. A
+/// second is for messages on their way.
+constexpr Duration kReplacedPlannerTime =
+    kOwnershipProofValidity + Duration(1'000);
 constexpr const char* kEvacuated = "data centre evacuated";
 /// A fencing number holds the planner's epoch in its high bits; the low bits
 /// count within that epoch.
@@ -520,7 +526,10 @@
   }
   const bool is_new_worker = IsOtherProcess(table, hello);
   if (is_new_worker) {
-    ReplaceWorker(table, now, {}, hello.worker.id == table.worker.id);
+    // A former process of the agent may have known the first worker.
+    const bool same_id =
+        table.worker.id.empty() || hello.worker.id == table.worker.id;
+    ReplaceWorker(table, now, {}, same_id);
     table.worker_born_ms = hello.born_ms;
     table.worker_announced_at = now;
   }
@@ -552,6 +561,10 @@
   return false;
 }
 
+uint64_t FirstFencing(PlannerEpoch epoch) {
+  return epoch.value << kFencingBitsPerEpoch;
+}
+
 /// @return false if the planner may have been replaced before this process
 /// started, and neither the store nor the worker would show it: a worker that
 /// is older than this process rejects calls under lower fencing numbers than it
@@ -875,6 +888,11 @@
     table.settled = true;
     MarkComplete(table);
   }
+  const bool may_hear_replaced = now - table.started_at <= kReplacedPlannerTime;
+  if (table.awaits_registration && !may_hear_replaced) {
+    table.awaits_registration = false;
+    ++table.version;
+  }
   ExpireLeasesOfFormerWorker(table, now);
   if (table.worker.responsive) return;
   MonotonicTime sent_until =
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -275,6 +275,9 @@
 bool ReceiveWorkerHello(RunTable& table, MonotonicTime now,
                         const WorkerHello& hello);
 
+/// @return the lowest fencing number of a planner's epoch.
+uint64_t FirstFencing(PlannerEpoch epoch);
+
 /// Follows a planner from now on, unless a later one is known.
 void FollowPlanner(RunTable& table, PlannerEpoch epoch,
                    const std::string& planner, const std::string& address);
--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -84,11 +84,13 @@
   VmEntity& vm = board_.vms[id];
   if (row.version < vm.row_version) return;
   const bool is_new = vm.id.empty();
+  if (row.version > vm.row_version) {
+    NoteRecordedLease(vm, loop_.now(), Duration(agent->former_lease_ms));
+  }
   vm.id = id;
   vm.agent = *ParseAddress(agent->address);
   vm.data_centre = agent->data_centre;
   vm.row_version = row.version;
-  NoteRecordedLease(vm, loop_.now(), Duration(agent->former_lease_ms));
   if (!is_new) return;
   vm.listed_at = loop_.now();
   vm.row_unproven = true;
--- a/tests/agent/registration_test.cc
+++ b/tests/agent/registration_test.cc
@@ -37,11 +37,12 @@
 struct StartingAgent {
   RunTable table;
   Registration registration;
+  uint64_t last_version = 1;
 
   StartingAgent() {
     table.started_at = kNow;
     table.life = AgentIncarnation(7);
-    BeginRegistration(table);
+    BeginRegistration(table, kNow);
     WorkerHello hello;
     hello.worker.id = WorkerId("w");
     hello.born_ms = kBornMs;
@@ -61,7 +62,10 @@
   int64_t WriteRow(bool committed = true) {
     REQUIRE(Next() == RegistrationStep::kWriteRow);
     const int64_t lease_ms = BeginRowWrite(registration, table);
-    FinishRowWrite(registration, kNow, lease_ms, committed);
+    StoreCommitResult result;
+    result.version = RowVersion(++last_version);
+    if (!committed) result.error = PlatformError::kUnknown;
+    FinishRowWrite(registration, kNow, lease_ms, result);
     return lease_ms;
   }
 
@@ -70,9 +74,12 @@
     FinishHeadRead(registration, table, kNow, HeadOf(epoch));
   }
 
-  /// The worker answers, `clock_ms` after its start.
-  void HearWorker(int64_t clock_ms) {
-    table.fencing = std::max<uint64_t>(table.fencing, 1);
+  /// The worker answers, `clock_ms` after its start, under the number of a
+  /// planner.
+  void HearWorker(int64_t clock_ms, uint64_t epoch = 2) {
+    FollowPlanner(table, PlannerEpoch(epoch), "entry", "10.0.1.1:7000");
+    table.fencing =
+        std::max<uint64_t>(table.fencing, FirstFencing(table.epoch) + 1);
     WorkerListing listing;
     listing.clock_ms = clock_ms;
     listing.born_ms = kBornMs;
@@ -80,10 +87,11 @@
   }
 };
 
-TEST_CASE("an agent without a former process starts tasks once it is listed") {
+TEST_CASE("an agent starts tasks once it is listed") {
   StartingAgent it;
   it.ReadRow(StoreRows());
   CHECK(it.WriteRow() == 0);
+  it.HearWorker(60'000);
   CHECK(MakeReport(it.table, kNow, {}).awaits_registration);
   it.ReadHead(3);
   CHECK_FALSE(MakeReport(it.table, kNow, {}).awaits_registration);
@@ -98,7 +106,7 @@
   StartingAgent it;
   it.ReadRow(RowOf({"10.0.2.1:7000", DataCentreId("dc"), 0}));
   it.WriteRow();
-  it.HearWorker(60'000);
+  it.HearWorker(60'000, 1);
   it.ReadHead(2);
   SyncRequest request;
   request.epoch = PlannerEpoch(1);
@@ -110,8 +118,15 @@
   StartingAgent it;
   it.ReadRow(StoreRows());
   it.WriteRow();
+  it.HearWorker(60'000);
   REQUIRE(it.Next() == RegistrationStep::kReadHead);
-  FinishHeadRead(it.registration, it.table, kNow, std::nullopt);
+  std::optional<StoreRows> rows;
+  SUBCASE("the store does not answer") {}
+  SUBCASE("the row is unreadable") {
+    rows = HeadOf(1);
+    rows->rows[0].value = "{";
+  }
+  FinishHeadRead(it.registration, it.table, kNow, rows);
   CHECK(it.table.awaits_registration);
   CHECK(it.Next() == RegistrationStep::kNone);
   CHECK(it.Next(kNow + Duration(1'000)) == RegistrationStep::kReadHead);
@@ -122,7 +137,7 @@
 TEST_CASE("leases are taken before the registration for old workers only") {
   StartingAgent it;
   SyncRequest request;
-  request.epoch = PlannerEpoch(1);
+  request.epoch = PlannerEpoch(2);
   request.life = it.table.life;
   request.stamp = AgentTime(kNow.time_since_epoch().count());
   request.grant_ms = kLeaseGrantDuration.count();
@@ -147,6 +162,7 @@
   it.ReadRow(RowOf({"10.0.2.1:7000", DataCentreId("dc"), row_says}));
   CHECK(it.WriteRow() == row_says);
   CHECK(it.Next() == RegistrationStep::kNone);
+  CHECK(it.table.awaits_registration);
   SUBCASE("the worker is young") {
     it.HearWorker(1'000);
     CHECK(it.table.has_former_lease);
@@ -186,7 +202,8 @@
   SUBCASE("the write fails") {
     it.WriteRow(false);
     CHECK(it.Next() == RegistrationStep::kNone);
-    CHECK(it.Next(kNow + Duration(1'000)) == RegistrationStep::kWriteRow);
+    // It may take effect yet, or have done so.
+    CHECK(it.Next(kNow + Duration(1'000)) == RegistrationStep::kReadRow);
     CHECK_FALSE(it.table.former_lease_recorded);
   }
   SUBCASE("the write succeeds") {
@@ -212,6 +229,7 @@
   StartingAgent it;
   it.ReadRow(StoreRows());
   it.WriteRow();
+  it.HearWorker(60'000);
   it.ReadHead(1);
   const MonotonicTime later = kNow + Duration(4'000);
   REQUIRE(it.Next(later) == RegistrationStep::kReadRow);
@@ -219,5 +237,48 @@
   CHECK(it.Next(later) == RegistrationStep::kWriteRow);
 }
 
+TEST_CASE("a row that another write has changed is written again") {
+  StartingAgent it;
+  it.ReadRow(StoreRows());
+  it.WriteRow();
+  it.HearWorker(60'000);
+  it.ReadHead(1);
+  const MonotonicTime later = kNow + Duration(4'000);
+  REQUIRE(it.Next(later) == RegistrationStep::kReadRow);
+  const AgentRow changed{"10.0.2.1:7000", DataCentreId("dc"), 9'000};
+  FinishRowRead(it.registration, it.table, later, RowOf(changed), kRow);
+  CHECK(it.Next(later) == RegistrationStep::kWriteRow);
+}
+
+// A planner that was replaced before the agent started can grant no leases any
+// more.
+TEST_CASE("an agent without the store starts tasks after some seconds") {
+  StartingAgent it;
+  it.HearWorker(60'000);
+  FinishRowRead(it.registration, it.table, kNow, std::nullopt, kRow);
+  ExpireLeases(it.table, kNow + Duration(6'000));
+  CHECK(it.table.awaits_registration);
+  ExpireLeases(it.table, kNow + Duration(8'000));
+  CHECK_FALSE(it.table.awaits_registration);
+}
+
+// TWICE: an answer under a replaced planner's number says nothing of calls
+// under its successor's.
+TEST_CASE(
+    "leases are not known before the worker has seen the owner's number") {
+  StartingAgent it;
+  it.ReadRow(StoreRows());
+  it.WriteRow();
+  it.HearWorker(1'000, 1);
+  it.WriteRow();
+  it.ReadHead(2);
+  CHECK_FALSE(it.table.former_lease_recorded);
+  CHECK(it.Next() == RegistrationStep::kNone);
+  it.HearWorker(1'000, 2);
+  it.WriteRow();
+  it.ReadHead(2);
+  CHECK(it.table.former_lease_recorded);
+}
+
 }  // namespace
 }  // namespace almondtally::sched
--- a/tests/planner/deadly_tasks_test.cc
+++ b/tests/planner/deadly_tasks_test.cc
@@ -253,7 +253,7 @@
       case RegistrationStep::kReadRow:
         return FinishRowRead(vm.registration, vm.agent, now_, std::nullopt, {});
       case RegistrationStep::kWriteRow:
-        return FinishRowWrite(vm.registration, now_, vm.lease_written_ms, true);
+        return FinishRowWrite(vm.registration, now_, vm.lease_written_ms, {});
       case RegistrationStep::kReadHead:
         return FinishHeadRead(vm.registration, vm.agent, now_, StoreRows());
     }
--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -100,9 +100,13 @@
     vms_[i].worker.id = WorkerId("worker" + std::to_string(i));
     vms_[i].worker.born_at = now_;
     StartAgent(i);
-    vms_[i].agent->registration.row_read = true;
-    vms_[i].agent->registration.row_written = true;
-    vms_[i].agent->table.awaits_registration = false;
+    Agent& agent = *vms_[i].agent;
+    agent.registration.row_read = true;
+    agent.registration.row_written = true;
+    agent.registration.row_version = RowVersion(memory_.version);
+    agent.table.awaits_registration = false;
+    agent.table.unanswered_lease_ms = 0;
+    agent.table.former_lease_end_ms = 0;
   }
   for (size_t i = 0; i < entries; ++i) {
     entries_.push_back(std::make_unique<Entry>(*this, i, ++last_process_));
@@ -377,7 +381,7 @@
   agent->store = MakeStore(agent->loop, AgentAddress(vm));
   agent->table.life = AgentIncarnation(++last_process_);
   agent->table.started_at = agent->loop.now();
-  BeginRegistration(agent->table);
+  BeginRegistration(agent->table, agent->loop.now());
   vms_[vm].agent = std::move(agent);
   vms_[vm].announced = false;
   Announce(vm);
@@ -430,11 +434,11 @@
   Agent& agent = *vms_[vm].agent;
   const int64_t lease_ms = BeginRowWrite(agent.registration, agent.table);
   StoreTransaction rows;
+  rows.checks.push_back({row, agent.registration.row_version});
   rows.puts.push_back({row, EncodeRow(AgentRow{ToString(AgentAddress(vm)),
                                                DataCentreOf(vm), lease_ms})});
   agent.store.commit(rows, [&agent, lease_ms](const StoreCommitResult& result) {
-    FinishRowWrite(agent.registration, agent.loop.now(), lease_ms,
-                   result.error == PlatformError::kNone);
+    FinishRowWrite(agent.registration, agent.loop.now(), lease_ms, result);
   });
 }
 
