The log states what holds the room that a waiting task lacks

It now states the most that one of them has free, and how many would fit the task without runs being stopped, unconfirmed ones, runs of lower priority that do not last, and all that do not last.

--- a/source/sched/waiting.cc
+++ b/source/sched/waiting.cc
@@ -34,6 +34,15 @@
   int without_room = 0;
   int closed_to_task = 0;
   int suitable = 0;
+  /// Of those without room: how many would have room without the runs that are
+  /// being stopped, that no worker has confirmed, that may be repeated and are
+  /// of lower priority, and that do not last.
+  int room_after_stops = 0;
+  int room_without_unconfirmed = 0;
+  int room_without_lower_priority = 0;
+  int room_without_short = 0;
+  /// The most that one of them has free.
+  Resources most_free;
 };
 
 std::string Milliseconds(Duration time) {
@@ -53,8 +62,35 @@
   return runs_of_step >= static_cast<int64_t>(step.max_per_vm);
 }
 
+/// Notes what holds the room of a VM that has too little for a task.
+void CountHolders(const ShardState& shard, const VmEntity& vm, int64_t priority,
+                  const StepSpec& step, VmCounts& out) {
+  const Resources free = vm.worker.capacity - ReservedCapacity(vm);
+  Resources stopping = free;
+  Resources unconfirmed = free;
+  Resources lower_priority = free;
+  Resources brief = free;
+  for (const auto& [key, run] : vm.runs) {
+    Resources size = run.size;
+    if (run.filler) size.cpu = MilliCpu(0);
+    if (run.stop_wanted) stopping += size;
+    if (!run.seen || run.phase != RunPhase::kRunning) unconfirmed += size;
+    const StepSpec* other = FindStep(shard, key);
+    if (other == nullptr || other->lasting) continue;
+    brief += size;
+    if (shard.jobs.at(key.job).terms.priority > priority)
+      lower_priority += size;
+  }
+  out.room_after_stops += Fits(step.each, stopping) ? 1 : 0;
+  out.room_without_unconfirmed += Fits(step.each, unconfirmed) ? 1 : 0;
+  out.room_without_lower_priority += Fits(step.each, lower_priority) ? 1 : 0;
+  out.room_without_short += Fits(step.each, brief) ? 1 : 0;
+  if (free.cpu > out.most_free.cpu || out.without_room == 0)
+    out.most_free = free;
+}
+
 VmCounts CountVms(const ShardState& shard, MonotonicTime now,
-                  const ServiceId& service, const StepSpec& step,
+                  const QueueTerms& terms, const StepSpec& step,
                   const TaskKey& key) {
   VmCounts out;
   for (const auto& [id, vm] : shard.vms) {
@@ -62,7 +98,8 @@
     const bool has_label = step.required_label.empty() ||
                            std::find(labels.begin(), labels.end(),
                                      step.required_label) != labels.end();
-    if (vm.synced && (vm.worker.service != service || !has_label)) continue;
+    if (vm.synced && (vm.worker.service != terms.service || !has_label))
+      continue;
     if (!vm.synced) {
       ++out.silent;
     } else if (vm.partial || vm.row_unproven ||
@@ -75,6 +112,7 @@
     } else if (vm.evacuated) {
       ++out.evacuated;
     } else if (!Fits(step.each, vm.worker.capacity - ReservedCapacity(vm))) {
+      CountHolders(shard, vm, terms.priority, step, out);
       ++out.without_room;
     } else if (IsClosedToTask(vm, step, key)) {
       ++out.closed_to_task;
@@ -87,6 +125,23 @@
   return out;
 }
 
+std::string DescribeSize(const Resources& size) {
+  return std::to_string(size.cpu.value) + "m/" +
+         std::to_string(size.memory.value) + "Mi";
+}
+
+/// @return what the VMs without room have free and what holds the rest; empty
+/// if there are none.
+std::string DescribeHolders(const VmCounts& n, const StepSpec& step) {
+  if (n.without_room == 0) return "";
+  return "; without room: needed=" + DescribeSize(step.each) +
+         " most_free=" + DescribeSize(n.most_free) +
+         " fits_without: stopping=" + std::to_string(n.room_after_stops) +
+         " unconfirmed=" + std::to_string(n.room_without_unconfirmed) +
+         " lower_priority=" + std::to_string(n.room_without_lower_priority) +
+         " short=" + std::to_string(n.room_without_short);
+}
+
 std::string DescribeVms(const VmCounts& n) {
   return "vms: silent=" + std::to_string(n.silent) +
          " unproven=" + std::to_string(n.unproven) +
@@ -160,7 +215,8 @@
     if (run == vm.runs.end()) continue;
     out += "earlier run: " + DescribeRun(shard, now, vm, run->second) + "; ";
   }
-  return out + DescribeVms(CountVms(shard, now, job.terms.service, step, key));
+  const VmCounts vms = CountVms(shard, now, job.terms, step, key);
+  return out + DescribeVms(vms) + DescribeHolders(vms, step);
 }
 
 /// @return the state of the planner's ownership if it may keep tasks from
--- a/tests/sched/waiting_test.cc
+++ b/tests/sched/waiting_test.cc
@@ -53,13 +53,64 @@
   CHECK(LogWait(shard, Duration(500)).reason.empty());
   CHECK(LogWait(shard, Duration(1'500)).reason ==
         "vms: silent=0 unproven=0 unresponsive=0 draining=1 without_room=1 "
-        "closed_to_task=0 set_aside=0 suitable=0");
+        "closed_to_task=0 set_aside=0 suitable=0; without room: "
+        "needed=1000m/100Mi most_free=500m/100000Mi fits_without: stopping=0 "
+        "unconfirmed=0 lower_priority=0 short=0");
   // Once per interval.
   CHECK(LogWait(shard, Duration(1'600)).reason.empty());
   CHECK(LogWait(shard, Duration(2'100)).reason.empty());
   CHECK_FALSE(LogWait(shard, Duration(3'600)).reason.empty());
 }
 
+/// @return the part of a line that states what holds the room.
+std::string HoldersIn(const std::string& reason) {
+  const size_t at = reason.find("fits_without");
+  return at == std::string::npos ? "" : reason.substr(at);
+}
+
+TEST_CASE("the log states what holds the room of a waiting task") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a", 1'000);
+  std::string expected;
+  SUBCASE("a run that does not last, of lower priority") {
+    AcceptJob(shard, "other", {Step(1, 1'000)}, 2);
+    expected = "stopping=0 unconfirmed=0 lower_priority=1 short=1";
+  }
+  SUBCASE("a run that does not last, of the same priority") {
+    AcceptJob(shard, "other", {Step(1, 1'000)});
+    expected = "stopping=0 unconfirmed=0 lower_priority=0 short=1";
+  }
+  SUBCASE("a run that lasts") {
+    AcceptJob(shard, "other", {LastingStep(1, 1'000)}, 2);
+    expected = "stopping=0 unconfirmed=0 lower_priority=0 short=0";
+  }
+  Place(shard);
+  ReportAllRunning(shard, vm);
+  AcceptJob(shard, "watch", {LastingStep(1, 1'000)});
+  CHECK(HoldersIn(LogWait(shard, Duration(1'500)).reason) ==
+        "fits_without: " + expected);
+}
+
+TEST_CASE("the log states that runs which end or begin hold the room") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a", 1'000);
+  AcceptJob(shard, "other", {LastingStep(1, 1'000)});
+  Place(shard);
+  std::string expected;
+  SUBCASE("begin") { expected = "stopping=0 unconfirmed=1"; }
+  SUBCASE("end") {
+    ReportAllRunning(shard, vm);
+    vm.runs.begin()->second.stop_wanted = true;
+    expected = "stopping=1 unconfirmed=0";
+  }
+  AcceptJob(shard, "watch", {LastingStep(1, 1'000)});
+  Decisions log;
+  LogWaitingTasks(shard, kNow + Duration(1'500), log);
+  REQUIRE(!log.empty());
+  CHECK(HoldersIn(log.back().reason) ==
+        "fits_without: " + expected + " lower_priority=0 short=0");
+}
+
 TEST_CASE("the log states why a task waits that does not last") {
   ShardState shard = NewBoard();
   AcceptJob(shard, "j", {Step(2, 1'000)});
