Room is held for lasting tasks that short tasks keep out

Cause: lasting tasks and short ones have the same priority, and short ones go first, since less work of their jobs is left. Where the service is full, one of them takes each piece of room that another leaves, so that no VM ever has room for a lasting task, though short tasks hold enough of it on many.

Change: after 2 s, room of one VM is held for such a task (sched/held_room): nothing else that needs this room starts there until the task fits, for 3 s at most. No run is stopped. One VM of eight may be held, and room is held only while the task would fit on more than an eighth of the VMs without their short tasks, which is left to these. Moves off slow VMs and off VMs over their capacity don't count held room. Holds are in memory: the next planner begins anew. Event 9123 task.room_held.

--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -283,13 +283,19 @@
        "reported no end of it; its task is idle again"},
       {Event::kTaskWaiting, "task.waiting", kPlanning, kWarning,
        "a ready task has not run for over 3 s, a lasting one for over 1 s, "
-       "with "
-       "the reason; age is how long it has waited"},
+       "with the reason; age is how long it has waited. `without room` states "
+       "the most CPU and memory that such a VM has free, and how many of them "
+       "would fit the task without runs being stopped, runs that no worker has "
+       "confirmed, runs of lower priority that do not last, and all runs that "
+       "do not last"},
       {Event::kTailOverTarget, "tail.over_target", kPlanning, kInfo,
        "a serving task misses its target; the reason lists the weights of the "
        "fillers on its VM"},
       {Event::kTailWithinTarget, "tail.within_target", kPlanning, kInfo,
        "a serving task meets its target again; age is how long it missed it"},
+      {Event::kRoomHeld, "task.room_held", kPlanning, kInfo,
+       "nothing else starts on a VM until a lasting task that has waited fits "
+       "there, for 3 s at most; age is how long it has waited"},
       {Event::kEvacuationsChanged, "evacuations.changed", kPlanning, kInfo,
        "other data centres are evacuated than before; vms counts the VMs there "
        "that this planner knows"},
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -95,6 +95,7 @@
   kTaskWaiting = 9120,
   kTailOverTarget = 9121,
   kTailWithinTarget = 9122,
+  kRoomHeld = 9123,
   kEvacuationsChanged = 9130,
   kEvacuationsOutdated = 9131,
   kVmEvacuated = 9132,
--- a/source/planner/planner.cc
+++ b/source/planner/planner.cc
@@ -400,6 +400,8 @@
           return Event::kRunLeftSlowVm;
         case Decision::Kind::kNearWait:
           return Event::kNearWaitEnded;
+        case Decision::Kind::kRoomHeld:
+          return Event::kRoomHeld;
       }
       return Event::kRunPlaced;
     }();
--- a/source/sched/leave_slow.cc
+++ b/source/sched/leave_slow.cc
@@ -77,7 +77,8 @@
   UsualVms out;
   out.vms = ListCandidateVms(shard, now, ListSuspectTests(shard, now));
   std::erase_if(out.vms, [&](const CandidateVm& it) {
-    return it.unreliable || !IsUsual(shard, now, *it.vm);
+    return it.unreliable || !IsUsual(shard, now, *it.vm) ||
+           shard.room_holds.contains(it.vm->id);
   });
   for (const auto& [id, vm] : shard.vms) {
     const bool is_usual = IsUsual(shard, now, vm);
--- a/source/sched/place.cc
+++ b/source/sched/place.cc
@@ -142,6 +142,7 @@
 void PlaceTasks(ShardState& shard, MonotonicTime now, Decisions& log) {
   const auto ready_steps = ListReadySteps(shard, now);
   const auto slow_runs = ListSlowRuns(shard, now);
+  if (ready_steps.empty()) shard.room_holds.clear();
   if (ready_steps.empty() && slow_runs.empty()) return;
   PlacementPass pass;
   const SuspectTests tests = ListSuspectTests(shard, now);
@@ -155,6 +156,7 @@
       PlaceSuspects(shard, now, it, pass, log);
     }
   }
+  HoldRoom(shard, now, ready_steps, pass, log);
   for (const ReadyStep& it : ready_steps) {
     if (it.job->record.spec.steps[it.step].gang) {
       PlaceGang(shard, now, it, pass, log);
--- a/source/sched/placement_pass.h
+++ b/source/sched/placement_pass.h
@@ -71,6 +71,13 @@
                 const StepSpec& step, const TaskKey& key, TaskEntity& task,
                 RunNumber number, Decisions& log);
 
+/// Holds room for lasting tasks that wait while short tasks take the room by
+/// pieces, and places those whose held room is free. Reduces what the
+/// candidates have free for others.
+void HoldRoom(ShardState& shard, MonotonicTime now,
+              const std::vector<ReadyStep>& ready_steps, PlacementPass& pass,
+              Decisions& log);
+
 /// Places the idle suspects of a step, each on the VM where a crash does least
 /// harm.
 void PlaceSuspects(ShardState& shard, MonotonicTime now,
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -233,6 +233,8 @@
   /// placed here: nothing is lost if they crash it again.
   MonotonicTime reserved_for_suspects_until{};
 
+  /// A hold has ended without the room; until then, no room is held here.
+  MonotonicTime not_held_until{};
   /// The data centre of the VM is evacuated; see ApplyEvacuations.
   bool evacuated = false;
   /// No start is sent, since the planner does not know which data centres are
@@ -247,6 +249,13 @@
   std::map<std::string, double> filler_cpu_shares;
 };
 
+/// Room of a VM that is held for a lasting task: nothing else takes it until
+/// the task fits.
+struct RoomHold {
+  TaskKey task;
+  MonotonicTime since{};
+};
+
 /// How long a serving task may miss its latency target while fillers run on the
 /// same VM.
 inline constexpr Duration kDefaultTailLimit{4'000};
@@ -292,6 +301,10 @@
   InterferenceModel interference;
   /// Load of the jobs that have serving tasks.
   std::map<JobId, JobLoad> loads;
+  /// In memory only: the next planner begins anew.
+  std::map<VmId, RoomHold> room_holds;
+  /// Earliest time of the next search for room to hold.
+  MonotonicTime next_hold_search_at{};
   /// Run times of the steps that ended last, by queue.
   std::map<QueueId, QueueRunTimes> run_times;
   /// Mean error of the learnt and of the declared run times, as the logarithm
@@ -352,6 +365,7 @@
     kVmUsual,
     kLeftSlowVm,
     kNearWait,
+    kRoomHeld,
   };
   Kind kind = Kind::kPlaced;
   TaskKey task;
--- a/source/sched/shrink.cc
+++ b/source/sched/shrink.cc
@@ -70,7 +70,8 @@
     const WorkerReport& worker = vm.worker;
     const bool usable = vm.id != here.id && HasReportedRecently(vm, now) &&
                         worker.responsive && !worker.draining &&
-                        !vm.evacuated && worker.service == here.worker.service;
+                        !shard.room_holds.contains(vm.id) && !vm.evacuated &&
+                        worker.service == here.worker.service;
     if (!usable) return false;
     const auto& labels = worker.labels;
     if (!step.required_label.empty() &&
