--- a/source/sched/held_room.cc
+++ b/source/sched/held_room.cc
@@ -40,10 +40,19 @@
   const StepSpec* step = nullptr;
 };
 
-/// A VM of which room may be held, with what its lasting tasks leave.
+/// The expected end of a run, and what it gives back.
+struct ExpectedEnd {
+  Duration after{};
+  Resources size;
+};
+
+/// A VM of which room may be held.
 struct HoldableVm {
   CandidateVm* candidate = nullptr;
+  /// What its lasting tasks leave.
   Resources without_short;
+  /// Of the runs that end by themselves, in their order; empty until needed.
+  std::optional<std::vector<ExpectedEnd>> ends;
 };
 
 CandidateVm* FindCandidate(PlacementPass& pass, const VmId& vm) {
@@ -75,30 +84,34 @@
   free.accelerators = std::max(free.accelerators, Accelerators(0));
 }
 
+std::vector<ExpectedEnd> ListEnds(const ShardState& shard, MonotonicTime now,
+                                  const VmEntity& vm) {
+  std::vector<ExpectedEnd> out;
+  for (const auto& [key, run] : vm.runs) {
+    const auto job = shard.jobs.find(key.job);
+    if (job == shard.jobs.end() || !EndsByItself(shard, key, run)) continue;
+    const Duration after =
+        run.stop_wanted
+            ? kStopTime
+            : ExpectedRemainingTime(shard, now, vm, job->second, key, run);
+    if (after <= kMaxHold) out.push_back({after, ReservedSize(run)});
+  }
+  std::sort(out.begin(), out.end(),
+            [](const auto& a, const auto& b) { return a.after < b.after; });
+  return out;
+}
+
 /// @return the expected time until a task fits on a VM if nothing else starts
 /// there; empty if it does not fit within the longest time of a hold.
 std::optional<Duration> TimeUntilRoom(const ShardState& shard,
-                                      MonotonicTime now,
-                                      const CandidateVm& candidate,
+                                      MonotonicTime now, HoldableVm& vm,
                                       const StepSpec& step) {
-  std::vector<std::pair<Duration, Resources>> ends;
-  for (const auto& [key, run] : candidate.vm->runs) {
-    const auto job = shard.jobs.find(key.job);
-    if (job == shard.jobs.end() || !EndsByItself(shard, key, run)) continue;
-    const Duration left = run.stop_wanted
-                              ? kStopTime
-                              : ExpectedRemainingTime(shard, now, *candidate.vm,
-                                                      job->second, key, run);
-    ends.emplace_back(left, ReservedSize(run));
-  }
-  std::sort(ends.begin(), ends.end(),
-            [](const auto& a, const auto& b) { return a.first < b.first; });
-  Resources free = candidate.free;
+  Resources free = vm.candidate->free;
   if (Fits(step.each, free)) return Duration(0);
-  for (const auto& [after, size] : ends) {
-    if (after > kMaxHold) break;
-    free += size;
-    if (Fits(step.each, free)) return after;
+  if (!vm.ends) vm.ends = ListEnds(shard, now, *vm.candidate->vm);
+  for (const ExpectedEnd& it : *vm.ends) {
+    free += it.size;
+    if (Fits(step.each, free)) return it.after;
   }
   return std::nullopt;
 }
@@ -127,6 +140,14 @@
   }
 }
 
+void Start(ShardState& shard, MonotonicTime now, CandidateVm& candidate,
+           const StepSpec& step, const TaskKey& key, Decisions& log) {
+  TaskEntity& task = *FindTask(shard, key);
+  Reserve(shard, candidate, step);
+  AssignTask(shard, now, *candidate.vm, step, key, task,
+             NextRunNumber(shard, HighestRun(task)), log);
+}
+
 /// Places the tasks whose held room is free, and keeps others from the rest.
 void UseHolds(ShardState& shard, MonotonicTime now, PlacementPass& pass,
               Decisions& log) {
@@ -134,17 +155,14 @@
     const TaskKey key = it->second.task;
     CandidateVm& candidate = *FindCandidate(pass, it->first);
     const StepSpec& step = *FindStep(shard, key);
-    TaskEntity& task = *FindTask(shard, key);
-    const bool starts = task.not_before <= now &&
+    const bool starts = FindTask(shard, key)->not_before <= now &&
                         HasRoom(candidate, shard.jobs.at(key.job).terms, step);
     if (!starts || !IsOpenToTask(candidate, step, key)) {
       Withhold(candidate, step);
       ++it;
       continue;
     }
-    Reserve(shard, candidate, step);
-    AssignTask(shard, now, *candidate.vm, step, key, task,
-               NextRunNumber(shard, HighestRun(task)), log);
+    Start(shard, now, candidate, step, key, log);
     it = shard.room_holds.erase(it);
   }
 }
@@ -191,7 +209,7 @@
     for (const auto& [key, run] : vm.runs) {
       if (EndsByItself(shard, key, run)) left += ReservedSize(run);
     }
-    out.push_back({&candidate, left});
+    out.push_back({&candidate, left, std::nullopt});
   }
   return out;
 }
@@ -207,12 +225,12 @@
 /// VMs would have room for it without short tasks.
 CandidateVm* ChooseVmToHold(const ShardState& shard, MonotonicTime now,
                             const WaitingTask& task,
-                            const std::vector<HoldableVm>& vms,
-                            size_t vms_of_service, Duration& wait) {
+                            std::vector<HoldableVm>& vms, size_t vms_of_service,
+                            Duration& wait) {
   const auto& label = task.step->required_label;
   CandidateVm* best = nullptr;
   size_t suitable = 0;
-  for (const HoldableVm& it : vms) {
+  for (HoldableVm& it : vms) {
     const WorkerReport& worker = it.candidate->vm->worker;
     const bool has_label =
         label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
@@ -221,7 +239,7 @@
     if (!Fits(task.step->each, it.without_short)) continue;
     if (!IsOpenToTask(*it.candidate, *task.step, task.key)) continue;
     ++suitable;
-    const auto time = TimeUntilRoom(shard, now, *it.candidate, *task.step);
+    const auto time = TimeUntilRoom(shard, now, it, *task.step);
     if (!time || (best != nullptr && *time >= wait)) continue;
     best = it.candidate;
     wait = *time;
@@ -266,7 +284,11 @@
     Duration wait{};
     CandidateVm* vm = ChooseVmToHold(shard, now, task, holdable, vms, wait);
     if (vm == nullptr) continue;
-    BeginHold(shard, now, task, *vm, wait, log);
+    if (Fits(task.step->each, vm->free)) {
+      Start(shard, now, *vm, *task.step, task.key, log);
+    } else {
+      BeginHold(shard, now, task, *vm, wait, log);
+    }
     std::erase_if(holdable,
                   [&](const HoldableVm& it) { return it.candidate == vm; });
   }
