--- a/source/sched/held_room.cc
+++ b/source/sched/held_room.cc
@@ -28,7 +28,7 @@
 constexpr size_t kVmsPerHold = 8;
 /// Of how many VMs of a service one is left to short tasks: room is held for a
 /// task only while it would fit on more VMs without their short tasks.
-constexpr size_t kVmsPerShortVm = 8;
+constexpr size_t kVmsPerShortVm = 4;
 /// Expected time until a run ends that is being stopped.
 constexpr Duration kStopTime{1'000};
 
