--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -427,7 +427,7 @@
   run.checkpoint = listed.checkpoint;
   run.percent = listed.percent;
   run.measurement = listed.measurement;
-  UpdateMissedTarget(table, run, now);
+  UpdateMissedTarget(run, now);
   const bool due = now - run.measures_reported_at >= kMeasureReportInterval;
   if (!started && !(due && (checkpoint_changed || measures_changed))) return;
   run.measures_reported_at = now;
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -53,10 +53,6 @@
   /// Since when the listed tail latency has exceeded the target; zero if it
   /// does not, or if the run has no known target.
   MonotonicTime over_target_since{};
-  /// When the target was listed as met after that, and since when it had been
-  /// missed; zero if the missed target has ended for certain.
-  MonotonicTime met_since{};
-  MonotonicTime missed_before{};
   /// The missed target was logged when the allowed time had passed.
   bool long_miss_logged = false;
   /// Report version of the last change.
--- a/source/agent/tail_guard.cc
+++ b/source/agent/tail_guard.cc
@@ -19,12 +19,6 @@
 /// (sched/pace.cc), and its count is at most one report, 300 ms, behind.
 constexpr Duration kHoldBefore = kNoticeDelay + kPaceDelay + kCallAllowance;
 
-/// The measure is a rough figure. If the listing after one that shows the
-/// target as met shows it as missed, it was missed all the time; listings are
-/// 300 ms apart, and up to a third late.
-constexpr Duration kBriefDip{400};
-constexpr int64_t kFullSpeed = 100;
-
 /// @return the number of fillers that are not known to be paused.
 int64_t CountFillersAtWork(const RunTable& table) {
   return std::count_if(table.runs.begin(), table.runs.end(),
@@ -35,35 +29,16 @@
                        });
 }
 
-/// @return true if a filler's rest may be why targets are met.
-bool IsAnyFillerSlowed(const RunTable& table) {
-  return std::any_of(table.runs.begin(), table.runs.end(), [](const auto& it) {
-    const AgentRun& run = it.second;
-    return run.order.filler && run.phase == RunPhase::kRunning &&
-           run.pace != kFullSpeed;
-  });
-}
-
 }  // namespace
 
-void UpdateMissedTarget(const RunTable& table, AgentRun& run,
-                        MonotonicTime now) {
+void UpdateMissedTarget(AgentRun& run, MonotonicTime now) {
   const int64_t target_ms = run.order.tail_target_ms;
-  if (target_ms > 0 && run.measurement == target_ms) return;
-  if (target_ms > 0 && run.measurement > target_ms) {
-    if (run.over_target_since != MonotonicTime{}) return;
-    const bool goes_on = run.missed_before != MonotonicTime{} &&
-                         now - run.met_since <= kBriefDip;
-    run.over_target_since = goes_on ? run.missed_before : now;
-    run.long_miss_logged = run.long_miss_logged && goes_on;
-    run.missed_before = {};
-    return;
+  if (target_ms <= 0 || run.measurement <= target_ms) {
+    run.over_target_since = {};
+    run.long_miss_logged = false;
+  } else if (run.over_target_since == MonotonicTime{}) {
+    run.over_target_since = now;
   }
-  if (run.over_target_since == MonotonicTime{}) return;
-  const bool may_go_on = target_ms > 0 && !IsAnyFillerSlowed(table);
-  run.missed_before = may_go_on ? run.over_target_since : MonotonicTime{};
-  run.met_since = now;
-  run.over_target_since = {};
 }
 
 Duration MissedFor(const AgentRun& run, MonotonicTime now) {
--- a/source/agent/tail_guard.h
+++ b/source/agent/tail_guard.h
@@ -14,12 +14,8 @@
 
 namespace almondtally::sched {
 
-/// Updates `over_target_since` after the run's measurement was listed. A
-/// measure at the target, which is in whole ms, neither begins nor ends a
-/// missed target, and one listing of a met target between missed ones, with all
-/// fillers at full speed, does not end it.
-void UpdateMissedTarget(const RunTable& table, AgentRun& run,
-                        MonotonicTime now);
+/// Updates `over_target_since` after the run's measurement was listed.
+void UpdateMissedTarget(AgentRun& run, MonotonicTime now);
 
 /// @return how long the run has missed its target until now; 0 if it meets it.
 Duration MissedFor(const AgentRun& run, MonotonicTime now);
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -311,8 +311,7 @@
   }
   run.size_requested = report.unsized;
   if (step != nullptr && step->tail_target_ms > 0) {
-    const bool over_target =
-        run.measurement > step->tail_target_ms || report.over_target_ms > 0;
+    const bool over_target = run.measurement > step->tail_target_ms;
     if (!over_target) run.over_target_since = {};
     // This planner may not have been the one that heard of it first.
     if (over_target && run.over_target_since == MonotonicTime{})
