--- a/review/standins3.py
+++ b/review/standins3.py
@@ -450,7 +450,7 @@
                 run.work_ms = float("inf")
                 return
             self.end(run, how)
-            if gang is not None:
+            if gang is not None and how == "done":
                 self.world.gang_ended(run, how)
 
     def end(self, run, how):
@@ -706,7 +706,7 @@
                         how=how)
         self.running = [it for it in self.running if it[0] is not run]
         self.ended[run.task].append((now_ms(), run.run, how, executor.name))
-        if how in ("crashed", "failed") and self.gang_of(run) is not None:
+        if how not in ("done", "broken") and self.gang_of(run) is not None:
             self.gang_ended(run, how)
 
     # Start and end.
@@ -843,6 +843,7 @@
         job = Job(self.rng.getrandbits(64) if job_id is None else job_id,
                   f"/{queue}/", steps, work_ms)
         job.spec = spec
+        job.schedule = {}
         self.jobs[job.id] = job
         return job
 
@@ -854,7 +855,7 @@
             at = entry or self.rng.choice(self.entries)
             status, _ = await call(
                 at.front, "POST", job.prefix + job.id,
-                {"spec": job.spec, "steps": job.steps}, 3.0,
+                {"spec": job.spec, "steps": job.steps, **job.schedule}, 3.0,
                 {"X-Deadline-Ms": 3000})
             self.record.add("submit", job=job.id, entry=at.name,
                             status=status)
