Review case 11: a void start runs in the executor's next life

A start that goes unanswered is void once the executor has answered under a higher fencing number, and the task is started elsewhere.

--- a/review/standins3.py
+++ b/review/standins3.py
@@ -350,11 +350,19 @@
         self.up = False
         self.server = HttpServer(self.handle)
         self.tasks = []
+        # The next call to start a task is left unanswered and carried out late.
+        self.holds_start = False
+        self.late = []
 
     def clock(self):
         return int(now_ms() - self.began) + 1000
 
     async def start(self):
+        self.begin_life()
+        await self.carry_out_late()
+        await self.listen()
+
+    def begin_life(self):
         self.life += 1
         self.began = now_ms()
         self.born = int(time.time() * 1000)
@@ -367,12 +375,33 @@
         self.highest = {}
         self.draining = False
         self.event = asyncio.Event()
-        await self.server.start(self.port)
         self.up = True
         self.record.add("executor.up", vm=self.name, id=self.id,
                         life=self.life)
-        self.tasks = [asyncio.create_task(self.beat()),
-                      asyncio.create_task(self.work())]
+        self.tasks = [asyncio.create_task(self.work())]
+
+    async def carry_out_late(self):
+        """Carries out the calls that were meant for a former life."""
+        for body in self.late:
+            answer = await self.carry_out("/run-start", body)
+            self.record.add("call.late", vm=self.name, task=body["task"],
+                            run=body["run"], answer=answer)
+        self.late = []
+
+    async def listen(self):
+        await self.server.start(self.port)
+        self.tasks.append(asyncio.create_task(self.beat()))
+
+    async def return_behind_cut(self, late_s, cut_s):
+        """Begins a new life at once, which nobody reaches for `cut_s`. Calls
+        that are on their way are carried out after `late_s`."""
+        self.begin_life()
+        self.record.add("cut.begins", vm=self.name)
+        await asyncio.sleep(late_s)
+        await self.carry_out_late()
+        await asyncio.sleep(cut_s - late_s)
+        self.record.add("cut.ends", vm=self.name)
+        await self.listen()
 
     async def crash(self):
         self.up = False
@@ -471,6 +500,14 @@
         expected = headers.get("x-expected-instance")
         if expected is not None and expected != self.id:
             return 421, {}
+        if path == "/run-start" and self.holds_start:
+            self.holds_start = False
+            self.late.append(json.loads(body))
+            self.record.add("call.unanswered", vm=self.name, path=path,
+                            task=self.late[-1]["task"],
+                            run=self.late[-1]["run"])
+            await asyncio.sleep(30)
+            return None
         return await self.carry_out(path, json.loads(body))
 
     async def carry_out(self, path, body):
