Review case 12: a late start runs in a silent executor's next life

An executor crashes before it has answered anything after a start, is back under its id behind a cut, and carries the start out late. The agent gives the run up after 5 s, and both run for 4 s (TWICE).

Scripts that run at the same time now take ports of their own.

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/standins3.py
+++ b/review/standins3.py
@@ -44,11 +44,30 @@
 
 
 # Below the ports that the system gives to outgoing channels.
-PORTS = iter(random.sample(range(12000, 31000), 4000))
+PORTS = range(12000, 31000)
+PORTS_OF_RUN = 200
+
+
+def reserve_ports():
+    """Takes a block of ports that no other run takes meanwhile: the socket on
+    its first port stays open until this process ends."""
+    blocks = list(PORTS[::PORTS_OF_RUN])
+    random.shuffle(blocks)
+    for first in blocks:
+        guard = socket.socket()
+        with contextlib.suppress(OSError):
+            guard.bind((HOST, first))
+            guard.listen()
+            return guard, iter(range(first + 1, first + PORTS_OF_RUN))
+        guard.close()
+    raise NotReady("no free ports")
+
+
+GUARD, FREE_PORTS = reserve_ports()
 
 
 def free_port():
-    for port in PORTS:
+    for port in FREE_PORTS:
         with socket.socket() as it, contextlib.suppress(OSError):
             it.bind((HOST, port))
             return port
@@ -857,6 +876,9 @@
                     raise NotReady("the entries are not ready")
                 await asyncio.sleep(0.1)
         await asyncio.sleep(5)
+        for it in self.entries + self.agents:
+            if it.child.poll() is not None:
+                raise NotReady(f"{it.name} did not start")
         self.record.add("ready")
 
     async def stop(self):
