Wait for an unanswered start while its worker is silent

A worker left a start unanswered, crashed and was back under its id behind a cut. Cause: the agent gave the run up with the leases that it had sent. They end on the clock of the process that was called; the next one carries the call out late, under a lease of its own. Change: unanswered starts are kept by task with the time until which they may arrive. While the worker is silent, such a run ends only when its call can no longer arrive and the longest lease has passed, when a process is heard, or when a worker with another id is there. The agent reports it for each run, so that a planner that loses the VM waits as well.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -299,6 +299,15 @@
   }
 }
 
+void Agent::LogHeldRuns() {
+  for (const HeldRunNote& it : std::exchange(table_.held_run_notes, {})) {
+    Log(Event::kRunHeld, {{"task", ToString(it.task)},
+                          {"run", static_cast<int64_t>(it.run.value)},
+                          {"worker", table_.worker.id.value},
+                          {"left_ms", it.left.count()}});
+  }
+}
+
 void Agent::LogMissedTargets() {
   for (const PaceNote& it : std::exchange(table_.pace_notes, {})) {
     Log(Event::kPauseConfirmed, {{"task", ToString(it.task)},
@@ -359,6 +368,7 @@
 void Agent::Tick() {
   ExpireLeases(table_, loop_.now());
   LogSettledStarts();
+  LogHeldRuns();
   Renew();
   SendWorkerCalls();
   LogMissedTargets();
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -52,6 +52,7 @@
 
   void Renew();
   void LogSettledStarts();
+  void LogHeldRuns();
   void LogMissedTargets();
   void SendWorkerCalls();
   void AnswerPendingSyncs();
--- a/source/agent/former_lease.cc
+++ b/source/agent/former_lease.cc
@@ -5,9 +5,6 @@
 namespace almondtally::sched::detail {
 namespace {
 
-/// A call without an answer may be carried out as late as this.
-constexpr Duration kMaxCallDelay{15'000};
-
 /// @return how long a lease of the worker's may last on the agent's clock.
 Duration WithDrift(Duration lease) {
   return lease + lease * kClockDriftPercent / 100;
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -5,13 +5,19 @@
 #include <utility>
 
 #include "agent/former_lease.h"
+#include "agent/late_start.h"
 #include "agent/tail_guard.h"
 #include "sched/ownership.h"
 
 namespace almondtally::sched {
 
+using detail::ExpireLateStarts;
 using detail::ExpireLeasesOfFormerWorker;
+using detail::ForgetListedStarts;
 using detail::HasUnrecordedLease;
+using detail::LateRunLeft;
+using detail::MayRunUnheard;
+using detail::RecordLateStart;
 using detail::RecordLeasesOfFormerWorker;
 using detail::RecordUnansweredLease;
 using detail::StopRunsOfFormerCalls;
@@ -38,6 +44,7 @@
 constexpr Duration kReplacedPlannerTime =
     kOwnershipProofValidity + Duration(1'000);
 constexpr const char* kEvacuated = "data centre evacuated";
+constexpr const char* kStoppedBeforeStart = "stopped before start";
 /// A fencing number holds the planner's epoch in its high bits; the low bits
 /// count within that epoch.
 constexpr int kFencingBitsPerEpoch = 24;
@@ -172,10 +179,23 @@
   }
 }
 
-void EndAllRunsAsLapsed(RunTable& table, MonotonicTime now) {
-  while (!table.runs.empty()) {
-    const auto it = table.runs.begin();
-    const AgentRun& run = it->second;
+/// Keeps a run whose lease has expired, since the worker's next process may
+/// have begun it again.
+void HoldRun(RunTable& table, MonotonicTime now, AgentRun& run) {
+  if (std::exchange(run.hold_logged, true)) return;
+  table.held_run_notes.push_back(
+      {run.order.task, run.order.run, LateRunLeft(table, now, run.order.task)});
+}
+
+void EndRunsAsLapsed(RunTable& table, MonotonicTime now) {
+  for (auto it = table.runs.begin(); it != table.runs.end();) {
+    const auto next = std::next(it);
+    AgentRun& run = it->second;
+    if (MayRunUnheard(table, now, it->first)) {
+      HoldRun(table, now, run);
+      it = next;
+      continue;
+    }
     NoteSettledStart(table, now, run, "lease_expired");
     if (!AwaitsStartCall(run)) {
       table.lapsed.push_back({it->first, run.order.run, run.start_sent_at,
@@ -185,6 +205,7 @@
     const RunEnd end = run.phase == RunPhase::kStarting ? RunEnd::kNotStarted
                                                         : RunEnd::kLapsed;
     EndRunLocally(table, it, end, "the worker is silent");
+    it = next;
   }
 }
 
@@ -280,13 +301,13 @@
   MarkChanged(table, table.runs[order.task] = std::move(run));
 }
 
-void ApplyStopOrder(RunTable& table, const StopOrder& order) {
+void ApplyStopOrder(RunTable& table, MonotonicTime now,
+                    const StopOrder& order) {
   const auto it = table.runs.find(order.task);
   if (it == table.runs.end() || it->second.order.run != order.run) return;
   AgentRun& run = it->second;
-  if (AwaitsStartCall(run)) {
-    return EndRunLocally(table, it, RunEnd::kNotStarted,
-                         "stopped before start");
+  if (AwaitsStartCall(run) && !MayRunUnheard(table, now, order.task)) {
+    return EndRunLocally(table, it, RunEnd::kNotStarted, kStoppedBeforeStart);
   }
   run.stop_requested = true;
 }
@@ -332,7 +353,9 @@
     it->second.size_known = true;
     MarkChanged(table, it->second);
   }
-  for (const StopOrder& order : request.stops) ApplyStopOrder(table, order);
+  for (const StopOrder& order : request.stops) {
+    ApplyStopOrder(table, now, order);
+  }
   for (const SpeedLimitOrder& order : request.paces) {
     const auto it = table.runs.find(order.task);
     if (it == table.runs.end() || it->second.order.run != order.run) continue;
@@ -484,6 +507,7 @@
                    const std::set<TaskKey>& kept, bool same_id) {
   EndRunsOfFormerWorker(table, kept);
   RecordLeasesOfFormerWorker(table, now, same_id);
+  if (!same_id) table.late_starts.clear();
   // Calls that have not arrived by the next listing are void.
   if (same_id && table.fencing != 0) ++table.fencing;
   table.process_fencing = table.fencing;
@@ -639,7 +663,8 @@
     if (!out.complete && run.version <= request.seen_version) continue;
     out.runs.push_back({task, run.order.run, run.phase, run.checkpoint,
                         run.percent, run.measurement, run.pace, !run.size_known,
-                        MissedFor(run, now).count(), IsHeld(table, run)});
+                        MissedFor(run, now).count(), IsHeld(table, run),
+                        LateRunLeft(table, now, task).count()});
   }
   const uint64_t seen_end = known ? request.seen_end : 0;
   for (const UnrecordedEnd& end : table.ends) {
@@ -691,6 +716,9 @@
       call.call.fencing >= table.fencing) {
     RaiseFencing(table);
   }
+  if (result.outcome == CallOutcome::kUnknown) {
+    RecordLateStart(table, now, call);
+  }
   if (result.outcome == CallOutcome::kFenced) {
     HandleFencedCall(table, call.call.fencing);
   }
@@ -711,13 +739,14 @@
     case CallOutcome::kFenced:
       // Retried under the higher number, unless a stop was requested.
       if (run.stop_requested) {
-        EndRunLocally(table, it, RunEnd::kNotStarted, "stopped before start");
+        EndRunLocally(table, it, RunEnd::kNotStarted, kStoppedBeforeStart);
       }
       break;
     case CallOutcome::kUnknown:
       if (table.worker_failed_at == MonotonicTime{})
         table.worker_failed_at = now;
       run.start_unanswered = true;
+      MarkChanged(table, run);
       break;
     case CallOutcome::kRejected:
     case CallOutcome::kWrongWorker:
@@ -859,6 +888,7 @@
   if (table.has_former_lease) StopRunsOfFormerCalls(table, listing);
   if (!listing.complete) return;
   ResolveUnlistedRuns(table, now, call, listed);
+  ForgetListedStarts(table, call.sent_at);
   MarkComplete(table);
 }
 
@@ -894,6 +924,7 @@
     ++table.version;
   }
   ExpireLeasesOfFormerWorker(table, now);
+  ExpireLateStarts(table, now);
   if (table.worker.responsive) return;
   MonotonicTime sent_until =
       std::max(table.lease_sent_until, table.former_lease_until);
@@ -906,7 +937,7 @@
       std::max<Duration>(sent_until - table.clock_at, kLeaseGrantDuration);
   const Duration drift = lease_duration * kClockDriftPercent / 100;
   if (now <= sent_until + drift) return;
-  EndAllRunsAsLapsed(table, now);
+  EndRunsAsLapsed(table, now);
   MarkComplete(table);
 }
 
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -32,6 +32,8 @@
   /// effect.
   bool start_unanswered = false;
   uint64_t call_fencing = 0;
+  /// The run is kept beyond its lease, and this was logged; see LateStart.
+  bool hold_logged = false;
   /// When the last start call was sent, or when the run was first listed.
   MonotonicTime start_sent_at{};
   /// When the worker confirmed the start.
@@ -89,6 +91,22 @@
   bool confirmed = false;
 };
 
+/// A start call that went unanswered. Until it can no longer be carried out,
+/// the worker's next process may begin the run: that process has seen neither
+/// the fencing number nor the stop that makes the call void.
+struct LateStart {
+  /// No process carries the call out after this time.
+  MonotonicTime arrives_by{};
+};
+
+/// A run that is kept beyond its lease because of a LateStart.
+struct HeldRunNote {
+  TaskKey task;
+  RunNumber run;
+  /// For how long at most.
+  Duration left{};
+};
+
 /// A start that went unanswered and whose outcome has become known.
 struct SettledStart {
   TaskKey task;
@@ -235,8 +253,11 @@
   std::map<TaskKey, EndedRun> ended_runs;
   /// Tasks of ended runs whose ends the planner has recorded, oldest first.
   std::deque<TaskKey> ended_runs_recorded;
+  /// The latest unanswered start of each task.
+  std::map<TaskKey, LateStart> late_starts;
   /// For the log; the caller removes them.
   std::vector<SettledStart> settled_starts;
+  std::vector<HeldRunNote> held_run_notes;
   std::vector<PaceNote> pace_notes;
   std::vector<LongMissNote> long_misses;
   /// How long a task may miss its target beside fillers; 0 if unknown.
@@ -343,8 +364,8 @@
 void HandleRenewalFailure(RunTable& table, MonotonicTime now,
                           const RenewCall& call, const CallResult& result);
 
-/// Ends all runs once the worker is unresponsive and every lease that it may
-/// have received has expired.
+/// Ends runs once the worker is unresponsive and every lease that it may have
+/// received has expired. Keeps those that a LateStart may begin again.
 void ExpireLeases(RunTable& table, MonotonicTime now);
 
 }  // namespace almondtally::sched
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -395,6 +395,10 @@
       {Event::kFormerLeaseRecorded, "worker.former_lease_recorded", kMembership,
        kInfo,
        "the store tells later planners of that lease; tasks may be started"},
+      {Event::kRunHeld, "run.held_for_late_start", kMembership, kInfo,
+       "the worker has been silent for longer than its leases, and a run is "
+       "kept because a start call went unanswered, which the worker's next "
+       "process may carry out; with the longest time for which it is kept"},
       {Event::kSettingsReloaded, "settings.reloaded", kProcess, kInfo,
        "the settings were reloaded, with what changed"},
   };
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -132,6 +132,7 @@
   kTargetMissedLong = 9312,
   kFillersHeld = 9313,
   kFormerLeaseRecorded = 9314,
+  kRunHeld = 9315,
   kSettingsReloaded = 9401,
 };
 
--- a/source/sched/messages.h
+++ b/source/sched/messages.h
@@ -153,10 +153,14 @@
   int64_t over_target_ms = -1;
   /// The agent itself keeps this filler paused, whatever it was ordered.
   bool held = false;
+  /// A start call went unanswered, so that the worker's next process may run
+  /// the task for this long after the report, whatever leases were granted.
+  int64_t late_run_ms = 0;
 };
 inline void to_json(nlohmann::json& out, const RunReport& it) {
-  out = {it.task,        it.run,  it.phase,   it.checkpoint,     it.percent,
-         it.measurement, it.pace, it.unsized, it.over_target_ms, it.held};
+  out = {it.task,           it.run,         it.phase,      it.checkpoint,
+         it.percent,        it.measurement, it.pace,       it.unsized,
+         it.over_target_ms, it.held,        it.late_run_ms};
 }
 inline void from_json(const nlohmann::json& in, RunReport& it) {
   in.at(0).get_to(it.task);
@@ -172,6 +176,8 @@
   if (in.size() <= kFieldsBeforeTargets + 1) return;
   in.at(kFieldsBeforeTargets).get_to(it.over_target_ms);
   in.at(kFieldsBeforeTargets + 1).get_to(it.held);
+  if (in.size() <= kFieldsBeforeTargets + 2) return;
+  in.at(kFieldsBeforeTargets + 2).get_to(it.late_run_ms);
 }
 
 /// What is known of the start of a run whose worker crashed.
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -27,6 +27,8 @@
 constexpr Duration kAvoidAfterRefusedStart{4'000};
 /// A count of an agent above this is not believed in full.
 constexpr Duration kLongestMissBelieved{600'000};
+/// A late run that an agent reports to last longer than this is not believed.
+constexpr Duration kLongestLateRun{60'000};
 /// Delay before a lasting task that failed is restarted.
 constexpr Duration kLastingRestartDelay{50};
 
@@ -304,6 +306,8 @@
   run.measurement = report.measurement;
   run.over_target_ms = report.over_target_ms;
   run.held_by_agent = report.held;
+  run.late_run_until = now + std::clamp(Duration(report.late_run_ms),
+                                        Duration(0), kLongestLateRun);
   run.speed_limit_sent = report.pace;
   const StepSpec* step = FindStep(shard, report.task);
   if (step != nullptr && !run.known) {
@@ -384,6 +388,7 @@
     if (task != nullptr && task->phase == TaskPhase::kPlaced &&
         task->vm == vm.id && task->run == run.run) {
       MakeIdle(*task, now, vm.id, "missing");
+      if (!report.worker.responsive) DelayPlacement(*task, run.late_run_until);
       PromoteCopy(shard, it->first, *task, log);
     } else if (task != nullptr && IsCopy(*task, vm.id, run.run)) {
       LogWastedCopy(now, it->first, *task, "missing", log);
@@ -504,6 +509,7 @@
       if (task->vm != id || task->run != run.run) continue;
       task->lost_run = run.run;
       MakeIdle(*task, now, id, "vm_lost");
+      DelayPlacement(*task, run.late_run_until);
       PromoteCopy(shard, key, *task, log);
     }
   }
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -167,6 +167,9 @@
   uint64_t size_batch = 0;
   int64_t percent = 0;
   int64_t measurement = -1;
+  /// A process of the worker that nobody hears of may run the task until then;
+  /// see RunReport::late_run_ms.
+  MonotonicTime late_run_until{};
   MonotonicTime running_since{};
   /// The agent's clock in the first report that showed the run as running.
   AgentTime running_since_stamp;
--- a/tests/sched/reports_test.cc
+++ b/tests/sched/reports_test.cc
@@ -376,6 +376,33 @@
   CHECK(vm.runs.empty());
 }
 
+// TWICE: an agent that is cut off knows of a start that its worker's next
+// process may carry out, but cannot say so.
+TEST_CASE("a task of a lost VM waits while its start may come late") {
+  constexpr Duration kLateRun{25'000};
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  AcceptJob(shard, "late", {Step(1, 1'000)});
+  AcceptJob(shard, "other", {Step(1, 1'000)});
+  Place(shard);
+  SyncReport report = Report(vm);
+  for (const char* job : {"late", "other"})
+    report.runs.push_back(Running(Key(job, 0, 0), RunNumber(1)));
+  report.runs[0].late_run_ms = kLateRun.count();
+  Decisions log;
+  ApplyReport(shard, kNow, vm, report, log);
+  const MonotonicTime lost = kNow + kMaxLeaseDuration;
+  shard.ownership_proven_at = lost;
+  ExpireVmLeases(shard, lost, log);
+  REQUIRE_FALSE(vm.synced);
+  VmEntity& next = AddVm(shard, "b");
+  Place(shard, lost);
+  CHECK(next.runs.contains(Key("other", 0, 0)));
+  CHECK_FALSE(next.runs.contains(Key("late", 0, 0)));
+  Place(shard, kNow + kLateRun);
+  CHECK(next.runs.contains(Key("late", 0, 0)));
+}
+
 TEST_CASE("a VM whose agent does not know who plans is given no tasks") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a");
