Send an unanswered start to the same worker again

A worker left a start unanswered, answered the next renewal, crashed, and was back behind a cut. Cause: the start was void for the process that had answered under the higher fencing number, so that the task was placed elsewhere; the next process has not seen that number, and carried the call out. Change: the same run is sent to the same worker again, for up to 1 s. The task has one home, and is waited for there if the worker crashes. Refusals of the repeated call do not end the run at once.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -36,6 +36,11 @@
 constexpr int64_t kUnknownPace = -1;
 /// Delay before an unconfirmed stop or pace call is repeated.
 constexpr Duration kCallRetryInterval{500};
+/// How long an unanswered start is sent again to the same worker before the
+/// task is left to another one.
+constexpr Duration kStartRetryTime{1'000};
+/// Delay before a start is repeated that the worker has refused.
+constexpr Duration kStartRetryInterval{100};
 /// Minimum time between two reports of changed measures of a run.
 constexpr Duration kMeasureReportInterval{250};
 /// A planner that was replaced before this process started grants no leases for
@@ -269,6 +274,22 @@
   return CheckRoom(table, TotalAdmissionSize(table), order);
 }
 
+/// @param reserved see CheckRoom.
+/// @return the reason why the run's start call is not sent, or not sent again;
+/// empty if it may be.
+std::string CheckStart(const RunTable& table, MonotonicTime now,
+                       const Resources& reserved, const AgentRun& run,
+                       MonotonicTime lease_until) {
+  if (table.evacuation.evacuated) return kEvacuated;
+  if (run.stop_requested) return kStoppedBeforeStart;
+  const bool was_unanswered = run.first_unanswered_at != MonotonicTime{};
+  if (was_unanswered && now - run.first_unanswered_at > kStartRetryTime)
+    return "start unanswered";
+  if (lease_until - now < kMinLeaseToStart) return "lease too short";
+  // The capacity may have shrunk since the order was admitted.
+  return CheckRoom(table, reserved, run.order);
+}
+
 /// @return true if this run of the task, or a later one, has ended here.
 bool HasEnded(const RunTable& table, const TaskKey& task, RunNumber run) {
   const auto it = table.ended_runs.find(task);
@@ -469,17 +490,17 @@
 }
 
 /// Ends runs that the worker did not list although it would have if they were
-/// running.
+/// running. A start that is void for the worker's process is due again.
 void ResolveUnlistedRuns(RunTable& table, MonotonicTime now,
                          const RenewCall& call,
                          const std::set<TaskKey>& listed) {
   for (auto it = table.runs.begin(); it != table.runs.end();) {
     const auto next = std::next(it);
-    const AgentRun& run = it->second;
+    AgentRun& run = it->second;
     if (!listed.contains(it->first)) {
       if (run.start_unanswered && run.call_fencing < call.call.fencing) {
         NoteSettledStart(table, now, run, "not_started");
-        EndRunLocally(table, it, RunEnd::kNotStarted, "start unanswered");
+        run.start_unanswered = false;
       } else if (run.phase != RunPhase::kStarting &&
                  run.confirmed_at < call.sent_at) {
         EndRunLocally(table, it, RunEnd::kWorkerLost,
@@ -679,18 +700,16 @@
   for (auto it = table.runs.begin(); it != table.runs.end();) {
     const auto next = std::next(it);
     AgentRun& run = it->second;
-    if (AwaitsStartCall(run)) {
-      // The capacity may have shrunk since the order was admitted.
-      const std::string no_room = CheckRoom(table, reserved, run.order);
+    if (AwaitsStartCall(run) && now >= run.next_start_at) {
       const MonotonicTime lease_until =
           std::min(table.lease_until, run.order_expires_at);
-      if (table.evacuation.evacuated) {
-        ++table.evacuation_refusals;
-        EndRunLocally(table, it, RunEnd::kNotStarted, kEvacuated);
-      } else if (lease_until - now < kMinLeaseToStart) {
-        EndRunLocally(table, it, RunEnd::kNotStarted, "lease too short");
-      } else if (!no_room.empty()) {
-        EndRunLocally(table, it, RunEnd::kNotStarted, no_room);
+      const std::string refusal =
+          CheckStart(table, now, reserved, run, lease_until);
+      if (!refusal.empty()) {
+        if (!MayRunUnheard(table, now, it->first)) {
+          if (refusal == kEvacuated) ++table.evacuation_refusals;
+          EndRunLocally(table, it, RunEnd::kNotStarted, refusal);
+        }
       } else if (!table.unproven_hello && !HasUnrecordedLease(table)) {
         // The lease would be on the clock of a process that may be gone.
         reserved += AdmissionSize(run.order.size, run.order.filler);
@@ -746,9 +765,18 @@
       if (table.worker_failed_at == MonotonicTime{})
         table.worker_failed_at = now;
       run.start_unanswered = true;
+      if (run.first_unanswered_at == MonotonicTime{})
+        run.first_unanswered_at = run.start_sent_at;
       MarkChanged(table, run);
       break;
     case CallOutcome::kRejected:
+      // An earlier call may still take effect, perhaps by the worker's next
+      // process if this one was not reached.
+      if (run.first_unanswered_at != MonotonicTime{}) {
+        run.next_start_at = now + kStartRetryInterval;
+        break;
+      }
+      [[fallthrough]];
     case CallOutcome::kWrongWorker:
       EndRunLocally(table, it, RunEnd::kNotStarted, result.text);
       break;
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -32,6 +32,10 @@
   /// effect.
   bool start_unanswered = false;
   uint64_t call_fencing = 0;
+  /// When the first call was sent that went unanswered; zero if none did.
+  MonotonicTime first_unanswered_at{};
+  /// Earliest time of the next start call.
+  MonotonicTime next_start_at{};
   /// The run is kept beyond its lease, and this was logged; see LateStart.
   bool hold_logged = false;
   /// When the last start call was sent, or when the run was first listed.
--- a/tests/agent/late_start_test.cc
+++ b/tests/agent/late_start_test.cc
@@ -137,6 +137,51 @@
   }
 }
 
+// TWICE, review/11: the start was void for the process that had answered under
+// a higher fencing number, and its task was placed elsewhere; the next process,
+// which had not seen that number, carried it out.
+TEST_CASE("a start that was void is sent to the same worker again") {
+  Vm vm;
+  vm.StartUnanswered(kTask);
+  vm.Answer(Listing(kBornMs));
+  CHECK(vm.Ends().empty());
+  SUBCASE("and runs there") {
+    vm.FinishStarts({});
+    CHECK(vm.table.runs.at(kTask).phase == RunPhase::kRunning);
+    vm.StaySilent(kExpired);
+    CHECK(vm.Ends().empty());
+  }
+  SUBCASE("and waits if the worker is no longer there") {
+    vm.FinishStarts({CallOutcome::kRejected, "not connected"});
+    CHECK(vm.Ends().empty());
+    vm.StaySilent(kExpired);
+    vm.FinishStarts({});
+    CHECK(vm.Ends().empty());
+    CHECK(vm.table.runs.contains(kTask));
+  }
+  SUBCASE("and is left to another one if the worker goes on refusing it") {
+    for (int i = 0; i < 10; ++i) {
+      vm.FinishStarts({CallOutcome::kRejected, "busy"});
+      vm.now += Duration(100);
+    }
+    CHECK(vm.Ends().empty());
+    vm.now += Duration(1);
+    vm.FinishStarts({CallOutcome::kRejected, "busy"});
+    REQUIRE(vm.Ends().size() == 1);
+    CHECK(vm.Ends()[0].end == RunEnd::kNotStarted);
+  }
+  SUBCASE("but not after its job was cancelled") {
+    SyncRequest request;
+    request.epoch = PlannerEpoch(1);
+    request.life = vm.table.life;
+    request.batch = vm.table.batch + 1;
+    request.stops = {{kTask, RunNumber(1)}};
+    ApplySyncRequest(vm.table, vm.now, request);
+    CHECK(BeginStartCalls(vm.table, vm.now).empty());
+    CHECK(vm.Ends().size() == 1);
+  }
+}
+
 TEST_CASE("a run that was confirmed after an unanswered start is waited for") {
   Vm vm;
   vm.StartUnanswered(kTask);
--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -373,6 +373,13 @@
   }
 }
 
+bool SimulatedFleet::HasLateStart(size_t vm) const {
+  const auto& calls = vms_[vm].late_calls;
+  return std::any_of(calls.begin(), calls.end(), [](const LateCall& it) {
+    return std::holds_alternative<StartCall>(it.call);
+  });
+}
+
 // Agents.
 
 void SimulatedFleet::StartAgent(size_t vm) {
--- a/tests/planner/simulated_fleet.h
+++ b/tests/planner/simulated_fleet.h
@@ -127,6 +127,8 @@
   /// @return all runs that workers have started, in the order of their starts.
   const std::deque<SimulatedRun>& runs() const { return runs_; }
   size_t CountRunning(size_t vm) const;
+  /// @return true if a start call is on its way that will be carried out late.
+  bool HasLateStart(size_t vm) const;
   /// @return what broke the rule that a task runs on one VM at a time, and is
   /// not started again after an end as done that was acknowledged.
   std::vector<std::string> doubled() const { return FindDoubledRuns(runs_); }
