Count only the first end of a run as unheard by earlier planners

Cause: an agent ends a run when it lapses, and again with evidence when it hears that the worker has crashed, or when the worker lists an end. The second end was new to the next planner, but the first had been told to the one before, which had started the task again. Change: such an end is marked as repeated, and shows nothing. Measured: handover_test "of a run whose lapse was reported before" fails without the condition and passes with it.

--- a/source/agent/handover.cc
+++ b/source/agent/handover.cc
@@ -37,7 +37,7 @@
   // it up, and a start may be refused for the same reason.
   const RunEnd how = end.report.end;
   const bool is_by_lease = how == RunEnd::kLapsed || how == RunEnd::kNotStarted;
-  return table.handover.lease_kept && !is_by_lease &&
+  return table.handover.lease_kept && !is_by_lease && !end.is_repeated &&
          end.reported_in == table.epoch &&
          end.report.number > table.handover.ends_before_lease;
 }
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -136,6 +136,7 @@
 void EndRunsOfFormerWorker(RunTable& table, const std::set<TaskKey>& kept) {
   constexpr const char* kReason = "the worker was replaced";
   std::vector<LapsedRun> on_worker = std::exchange(table.lapsed, {});
+  const size_t ended_before = on_worker.size();
   for (auto& [task, run] : table.runs) {
     if (kept.contains(task)) continue;
     if (AwaitsStartCall(run)) {
@@ -170,7 +171,8 @@
       std::count_if(on_worker.begin(), on_worker.end(), is_suspect);
   // A worker that announced its end did not crash.
   const bool crashed = !table.worker.draining;
-  for (LapsedRun& run : on_worker) {
+  for (size_t i = 0; i < on_worker.size(); ++i) {
+    LapsedRun& run = on_worker[i];
     CrashEvidence crash;
     if (crashed) {
       const Duration age = alive_at - run.start_sent_at;
@@ -182,6 +184,7 @@
     }
     AddEnd(table, run.task, run.run, RunEnd::kWorkerLost,
            std::move(run.checkpoint), kReason, 0, crash);
+    table.ends.back().is_repeated = i < ended_before;
   }
 }
 
@@ -485,7 +488,10 @@
   table.worker_end_seen = end.number;
   AddEnd(table, end.task, end.run, end.end, end.checkpoint, "", end.number);
   const auto it = table.runs.find(end.task);
-  if (it == table.runs.end() || it->second.order.run > end.run) return;
+  if (it == table.runs.end() || it->second.order.run > end.run) {
+    table.ends.back().is_repeated = true;
+    return;
+  }
   NoteSettledStart(table, now, it->second, "ended");
   table.runs.erase(it);
 }
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -73,6 +73,8 @@
   /// The number that the worker gave this end; 0 if the agent determined the
   /// end itself.
   uint64_t worker_number = 0;
+  /// Another end of the same run was reported before.
+  bool is_repeated = false;
   /// Epoch of the planner that was told of it first; 0 if none was.
   PlannerEpoch reported_in;
 };
--- a/tests/agent/handover_test.cc
+++ b/tests/agent/handover_test.cc
@@ -127,6 +127,28 @@
     ++vm.epoch;
     CHECK_FALSE(vm.Sync({}).ends[0].is_sole_run);
   }
+  SUBCASE("of a run whose lapse was reported before") {
+    HandleRenewalFailure(vm.table, vm.now, *BeginRenewal(vm.table, vm.now),
+                         {CallOutcome::kRejected, "not connected"});
+    for (int i = 0; i < 10; ++i) {
+      vm.now += kSecond;
+      vm.Sync({});
+    }
+    REQUIRE(vm.table.ends.size() == 1);
+    CHECK(vm.table.ends[0].report.end == RunEnd::kLapsed);
+    ++vm.epoch;
+    SUBCASE("the worker has crashed") {
+      WorkerHello hello;
+      hello.worker = vm.table.worker;
+      hello.born_ms = 200;
+      ApplyWorkerHello(vm.table, vm.now, hello);
+    }
+    SUBCASE("the worker lists its end") { vm.EndRun(); }
+    const SyncReport report = vm.Sync({});
+    CHECK(report.lease_kept);
+    REQUIRE(report.ends.size() == 2);
+    CHECK_FALSE(report.ends[1].is_sole_run);
+  }
   SUBCASE("while no lease was valid, so that the run may have been given up") {
     vm.now += kLeaseGrantDuration + Duration(1);
     ExpireLeases(vm.table, vm.now);
