Stop waiting for a late start once its VM reports

Change: the wait has a VM, and ends when that VM reports with a worker that answers, or reports an end of the task. task.waiting names it.

--- a/source/sched/ownership.cc
+++ b/source/sched/ownership.cc
@@ -50,10 +50,20 @@
   return shard.recovering && job.loaded_from_store && !task.is_accounted_for;
 }
 
+bool AwaitsLateRun(const ShardState& shard, MonotonicTime now,
+                   const TaskEntity& task) {
+  if (now >= task.late_run_until) return false;
+  const auto vm = shard.vms.find(task.late_run_on);
+  const bool is_heard = vm != shard.vms.end() && vm->second.synced &&
+                        vm->second.worker.responsive;
+  return !is_heard;
+}
+
 bool IsPlaceable(const ShardState& shard, MonotonicTime now,
                  const JobEntity& job, const TaskEntity& task) {
   return task.phase == TaskPhase::kIdle && task.not_before <= now &&
-         !AwaitsEarlierRun(shard, job, task);
+         !AwaitsEarlierRun(shard, job, task) &&
+         !AwaitsLateRun(shard, now, task);
 }
 
 bool AwaitsProof(const ShardState& shard, MonotonicTime now) {
--- a/source/sched/ownership.h
+++ b/source/sched/ownership.h
@@ -49,6 +49,11 @@
 bool AwaitsEarlierRun(const ShardState& shard, const JobEntity& job,
                       const TaskEntity& task);
 
+/// @return true if the task's last VM is silent, or its worker is, and a
+/// process that nobody has heard of may run the task there.
+bool AwaitsLateRun(const ShardState& shard, MonotonicTime now,
+                   const TaskEntity& task);
+
 /// @return true if the task is idle and may be placed now.
 bool IsPlaceable(const ShardState& shard, MonotonicTime now,
                  const JobEntity& job, const TaskEntity& task);
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -130,6 +130,12 @@
   task.last_outcome_vm = vm;
 }
 
+/// Makes an idle task wait for a run that its VM may begin late.
+void NoteLateRun(TaskEntity& task, const VmEntity& vm, const VmRun& run) {
+  task.late_run_on = vm.id;
+  task.late_run_until = run.late_run_until;
+}
+
 /// A VM that did not carry out a start is avoided for a while.
 void AvoidAfterRefusedStart(VmEntity& vm, MonotonicTime now) {
   vm.avoided_until = now + kAvoidAfterRefusedStart;
@@ -274,6 +280,7 @@
   if (job == nullptr || task == nullptr || IsFinal(job->state)) return;
   if (task->phase == TaskPhase::kDone) return;
   if (end.is_sole_run) task->is_accounted_for = true;
+  if (task->late_run_on == vm.id) task->late_run_until = {};
   if (end.end != RunEnd::kDone && IsFailureRecorded(*task, end)) return;
   const std::optional<TaskCopy> copy = task->copy;
   ProcessTaskRunEnd(shard, now, *job, *task, vm, end, log);
@@ -392,7 +399,7 @@
     if (task != nullptr && task->phase == TaskPhase::kPlaced &&
         task->vm == vm.id && task->run == run.run) {
       MakeIdle(*task, now, vm.id, "missing");
-      if (!report.worker.responsive) DelayPlacement(*task, run.late_run_until);
+      NoteLateRun(*task, vm, run);
       PromoteCopy(shard, it->first, *task, log);
     } else if (task != nullptr && IsCopy(*task, vm.id, run.run)) {
       LogWastedCopy(now, it->first, *task, "missing", log);
@@ -514,7 +521,7 @@
       if (task->vm != id || task->run != run.run) continue;
       task->lost_run = run.run;
       MakeIdle(*task, now, id, "vm_lost");
-      DelayPlacement(*task, run.late_run_until);
+      NoteLateRun(*task, vm, run);
       PromoteCopy(shard, key, *task, log);
     }
   }
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -70,6 +70,10 @@
   bool is_accounted_for = false;
   /// Earliest time of the next placement.
   MonotonicTime not_before{};
+  /// A process of this VM's worker that nobody hears of may run the task until
+  /// then, unless the VM reports; see RunReport::late_run_ms.
+  VmId late_run_on;
+  MonotonicTime late_run_until{};
   /// When the task became ready to place or was last placed.
   MonotonicTime since{};
   /// Since when the task has waited for a run that its worker confirms, with
--- a/source/sched/waiting.cc
+++ b/source/sched/waiting.cc
@@ -194,6 +194,10 @@
     return "runs of the previous planner may still execute on VMs that have "
            "not reported";
   }
+  if (AwaitsLateRun(shard, now, task)) {
+    return "an unanswered start may still be carried out on " +
+           task.late_run_on.value;
+  }
   if (IsOutdated(shard.evacuations, now)) {
     return "not known which data centres are evacuated";
   }
--- a/tests/sched/reports_test.cc
+++ b/tests/sched/reports_test.cc
@@ -399,8 +399,12 @@
   Place(shard, lost);
   CHECK(next.runs.contains(Key("other", 0, 0)));
   CHECK_FALSE(next.runs.contains(Key("late", 0, 0)));
-  Place(shard, kNow + kLateRun);
-  CHECK(next.runs.contains(Key("late", 0, 0)));
+  SUBCASE("until it can no longer come") { Place(shard, kNow + kLateRun); }
+  SUBCASE("until the VM reports the end of the run") {
+    EndRun(shard, vm, Key("late", 0, 0), RunNumber(1), RunEnd::kLapsed, lost);
+    Place(shard, lost + Duration(10));
+  }
+  CHECK(FindTask(shard, Key("late", 0, 0))->phase == TaskPhase::kPlaced);
 }
 
 TEST_CASE("a VM whose agent does not know who plans is given no tasks") {
