Count a predecessor's last proof from the version that was claimed

A planner that takes over waits until no predecessor can prove its ownership, and counted 6 s from its own beginning. Each proof changes the head row, and the claim succeeds only for the version that was read, so that none was given after this version was first read. Change: the 6 s count from there. ShardState::took_over_at becomes last_earlier_proof_at.

--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -163,6 +163,10 @@
   new_head.epoch = PlannerEpoch(head ? head->epoch.value + 1 : 1);
   const std::string from = head ? head->planner : "";
   const MonotonicTime sent_at = loop_.now();
+  // Each proof of the owner changes the row, so that the claim succeeds only if
+  // none was given after this version was first read.
+  const bool is_watched = journal_.version() == head_watch_.version;
+  claimed_version_read_at_ = is_watched ? head_watch_.unchanged_since : sent_at;
   journal_.Claim(new_head, [this, from, sent_at](JournalOutcome outcome,
                                                  const std::string& why) {
     if (outcome != JournalOutcome::kCommitted) {
@@ -213,7 +217,7 @@
   board_ = {};
   admission_ = {};
   board_.epoch = journal_.own_head().epoch;
-  board_.took_over_at = now;
+  board_.last_earlier_proof_at = claimed_version_read_at_;
   board_.ownership_proven_at = claim_sent_at_;
   board_.queues = queues_;
   board_.tail_limit = settings_.tail_limit;
@@ -273,7 +277,10 @@
     }
   }
   // Nobody who owned the shard before this claim can prove it any longer.
-  loop_.RunAfter(kOwnershipProofValidity, [this, epoch = board_.epoch.value] {
+  const Duration proofs_left =
+      std::max(Duration(0), board_.last_earlier_proof_at +
+                                kOwnershipProofValidity - loop_.now());
+  loop_.RunAfter(proofs_left, [this, epoch = board_.epoch.value] {
     if (!planning_ || board_.epoch.value != epoch) return;
     const std::vector<std::string> silent = journal_.earlier_owners();
     for (const std::string& owner : silent) HandleEarlierOwnerStopped(owner);
--- a/source/planner/planner.h
+++ b/source/planner/planner.h
@@ -232,6 +232,8 @@
   MonotonicTime last_commit_at_{};
   /// When the claim of the present ownership was sent.
   MonotonicTime claim_sent_at_{};
+  /// When the version of the head row was first read that the claim expects.
+  MonotonicTime claimed_version_read_at_{};
   bool store_failed_ = false;
   /// Generation of the poll loop of each VM; answers and timers of an older
   /// generation are ignored.
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -295,7 +295,8 @@
 /// it and do no I/O.
 struct ShardState {
   PlannerEpoch epoch;
-  MonotonicTime took_over_at{};
+  /// No earlier planner has proven its ownership after this time.
+  MonotonicTime last_earlier_proof_at{};
   /// When the last successful commit or claim was sent; this planner still
   /// owned the shard then.
   MonotonicTime ownership_proven_at{};
--- a/tests/planner/deadly_tasks_test.cc
+++ b/tests/planner/deadly_tasks_test.cc
@@ -97,7 +97,7 @@
     const uint64_t epoch = shard_.epoch.value + 1;
     shard_ = NewShard(epoch);
     planner_back_at_ = now_ + pause;
-    shard_.took_over_at = planner_back_at_;
+    shard_.last_earlier_proof_at = planner_back_at_;
     for (const JobRecord& record : records_) {
       JobEntity& job = AddJob(shard_, now_, record);
       job.accepted = true;
@@ -147,7 +147,7 @@
   static ShardState NewShard(uint64_t epoch) {
     ShardState out;
     out.epoch = PlannerEpoch(epoch);
-    out.took_over_at = kStart;
+    out.last_earlier_proof_at = kStart;
     return out;
   }
 
--- a/tests/planner/handover_test.cc
+++ b/tests/planner/handover_test.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "planner/simulated_fleet.h"
+#include "sched/ownership.h"
 
 // Tasks after a planner and a VM have been lost at the same time: the next
 // planner waits for the VM, but not with tasks that cannot be there.
@@ -20,6 +21,8 @@
 /// A planner that can no longer reach the store grants leases for this long,
 /// and the last one has ended after another 5.35 s.
 constexpr Duration kLongestTakeover{15'000};
+/// Until the loss of a planner shows, and until a commit proves what has ended.
+constexpr Duration kDetectionTime{1'000};
 constexpr size_t kVms = 3;
 
 /// A fleet with a lasting task, whose planner and one other VM can be lost.
@@ -114,8 +117,11 @@
   REQUIRE(it.run(2).vm != it.run(1).vm);
   it.LosePlannerAndVm(it.run(2).vm);
   it.fleet().Advance(kLongestTakeover);
-  CHECK(it.fleet().runs().size() == 3);
+  REQUIRE(it.fleet().runs().size() == 3);
   CHECK(it.fleet().doubled().empty());
+  // The proof's validity counts from when the head row was seen to change.
+  CHECK(it.run(3).started_at - it.lost_at() <=
+        kOwnershipProofValidity + kMaxLeaseDuration + kDetectionTime);
 }
 
 }  // namespace
--- a/tests/planner/missed_target_replay.cc
+++ b/tests/planner/missed_target_replay.cc
@@ -195,7 +195,7 @@
 void MissedTargetReplay::StartPlanner() {
   planner_.emplace(NewBoard());
   planner_->epoch = PlannerEpoch(++epoch_);
-  planner_->took_over_at = now_;
+  planner_->last_earlier_proof_at = now_;
   planner_->tail_limit = kTailLimit;
   AcceptJob(*planner_, kServing.value, {ServingStep()});
   AcceptJob(*planner_, "batch", {FillerStep(first_fillers_)});
--- a/tests/sched/ownership_test.cc
+++ b/tests/sched/ownership_test.cc
@@ -50,7 +50,7 @@
 TEST_CASE("a planner waits for longer leases that rows of silent VMs tell of") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a");
-  shard.took_over_at = kNow;
+  shard.last_earlier_proof_at = kNow;
   shard.earlier_planners_stopped_at = kNow;
   vm.awaiting_first_sync = true;
   vm.recorded_lease_ends_at = kNow + Duration(10'500);
--- a/tests/sched/shard_state_builder.h
+++ b/tests/sched/shard_state_builder.h
@@ -67,7 +67,7 @@
 inline ShardState NewBoard() {
   ShardState shard;
   shard.epoch = PlannerEpoch(1);
-  shard.took_over_at = kNow;
+  shard.last_earlier_proof_at = kNow;
   return shard;
 }
 
