Do not wait for VMs that were emptied before the planner was lost

Cause: the row of a VM that has left is removed only by a planner that has heard so. Whether tasks may run there was known to agent and planner in memory alone. Change: an agent whose worker leaves, with nothing running and all ends stored, says so in the VM's row, and starts nothing until it has taken this back and has read the head row after that. A planner that takes over does not wait for it. The random plays drain workers now.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -70,21 +70,23 @@
 }
 
 void Agent::WriteAgentRow() {
-  const int64_t former_lease_ms = BeginRowWrite(registration_, table_);
+  const RowContent content = BeginRowWrite(registration_, table_);
   StoreTransaction rows;
   rows.checks.push_back({RowKey(), registration_.row_version});
   rows.puts.push_back(
-      {RowKey(), EncodeRow(AgentRow{ToString(settings_.peer),
-                                    settings_.data_centre, former_lease_ms})});
-  store_.commit(rows, [this, former_lease_ms](const StoreCommitResult& result) {
-    FinishRowWrite(registration_, loop_.now(), former_lease_ms, result);
+      {RowKey(),
+       EncodeRow(AgentRow{ToString(settings_.peer), settings_.data_centre,
+                          content.former_lease_ms, content.drained})});
+  store_.commit(rows, [this, content](const StoreCommitResult& result) {
+    FinishRowWrite(registration_, loop_.now(), content, result);
     if (!registration_.row_written) {
       return Log(Event::kStoreLost, {{"reason", result.text}});
     }
     Log(Event::kAgentListed,
         {{"vm", settings_.vm.value},
          {"row_version", static_cast<int64_t>(result.version.value)},
-         {"former_lease_ms", former_lease_ms}});
+         {"former_lease_ms", content.former_lease_ms},
+         {"drained", content.drained ? "yes" : "no"}});
     Register();
   });
 }
--- a/source/agent/registration.cc
+++ b/source/agent/registration.cc
@@ -23,8 +23,18 @@
   return table.clock_known && table.former_lease_end_ms == 0;
 }
 
-/// @return true if the row must be written for what it says of leases.
+/// @return true if nothing of the VM can be missing in the store, and its
+/// worker is to get no more tasks.
+bool IsDrained(const RunTable& table) {
+  return table.worker.draining && table.complete_version != 0 &&
+         table.runs.empty() && table.ends.empty() &&
+         table.late_starts.empty() && AreLeasesKnown(table) &&
+         !table.has_former_lease;
+}
+
+/// @return true if the row must be written for what it says.
 bool IsRowOutdated(const Registration& registration, const RunTable& table) {
+  if (registration.drained) return true;
   if (!AreLeasesKnown(table)) return false;
   if (!table.has_former_lease) return registration.former_lease_ms != 0;
   return registration.recorded_born_ms != table.worker_born_ms;
@@ -53,8 +63,15 @@
   // A planner that takes over waits for each listed VM. One without a worker
   // has nothing to report.
   const bool may_write = HasWorker(table);
+  const bool is_drained = IsDrained(table);
   if (!registration.row_read) {
-    return may_write ? RegistrationStep::kReadRow : RegistrationStep::kNone;
+    return may_write || is_drained ? RegistrationStep::kReadRow
+                                   : RegistrationStep::kNone;
+  }
+  if (is_drained) {
+    const bool is_listed = registration.row_version != RowVersion(0);
+    return is_listed && !registration.drained ? RegistrationStep::kWriteRow
+                                              : RegistrationStep::kNone;
   }
   if (may_write &&
       (!registration.row_written || IsRowOutdated(registration, table))) {
@@ -87,26 +104,38 @@
                                       : std::optional<AgentRow>();
   if (registration.row_read) {
     registration.row_written =
-        decoded && decoded->former_lease_ms == registration.former_lease_ms;
+        decoded && decoded->former_lease_ms == registration.former_lease_ms &&
+        decoded->drained == registration.drained;
     return;
   }
   registration.row_read = true;
   if (table.awaits_registration) registration.head_pending = true;
-  if (decoded) registration.former_lease_ms = decoded->former_lease_ms;
+  if (!decoded) return;
+  registration.former_lease_ms = decoded->former_lease_ms;
+  registration.drained = decoded->drained;
+  if (decoded->drained) table.listed_as_drained = true;
 }
 
-int64_t BeginRowWrite(Registration& registration, const RunTable& table) {
+RowContent BeginRowWrite(Registration& registration, RunTable& table) {
   registration.call_in_flight = true;
   registration.recorded_born_ms.reset();
-  if (!AreLeasesKnown(table)) return registration.former_lease_ms;
-  if (!table.has_former_lease) return 0;
-  registration.recorded_born_ms = table.worker_born_ms;
-  registration.head_pending = true;
-  return detail::LongestFormerLease(table).count();
+  RowContent out;
+  out.drained = IsDrained(table);
+  if (out.drained) table.listed_as_drained = true;
+  if (table.listed_as_drained && !out.drained) registration.head_pending = true;
+  if (!AreLeasesKnown(table)) {
+    out.former_lease_ms = registration.former_lease_ms;
+  } else if (table.has_former_lease) {
+    registration.recorded_born_ms = table.worker_born_ms;
+    registration.head_pending = true;
+    out.former_lease_ms = detail::LongestFormerLease(table).count();
+  }
+  return out;
 }
 
 void FinishRowWrite(Registration& registration, MonotonicTime now,
-                    int64_t former_lease_ms, const StoreCommitResult& result) {
+                    const RowContent& content,
+                    const StoreCommitResult& result) {
   registration.call_in_flight = false;
   registration.row_written = result.error == PlatformError::kNone;
   if (!registration.row_written) {
@@ -117,7 +146,8 @@
   }
   registration.row_version = result.version;
   registration.next_check_at = now + kPlannerSilence;
-  registration.former_lease_ms = former_lease_ms;
+  registration.former_lease_ms = content.former_lease_ms;
+  registration.drained = content.drained;
 }
 
 void FinishHeadRead(Registration& registration, RunTable& table,
@@ -146,6 +176,11 @@
     registration.recorded_born_ms.reset();
   }
   if (std::exchange(table.awaits_registration, false)) ++table.version;
+  const bool is_taken_back = table.listed_as_drained && !registration.drained;
+  if (is_taken_back) {
+    table.listed_as_drained = false;
+    ++table.version;
+  }
   if (table.has_former_lease &&
       registration.recorded_born_ms == table.worker_born_ms) {
     table.former_lease_recorded = true;
--- a/source/agent/registration.h
+++ b/source/agent/registration.h
@@ -29,9 +29,10 @@
   /// Version of the row in the store; 0 if there is none. A write expects it,
   /// so that one without an answer cannot take effect after a later one.
   RowVersion row_version;
-  /// The row is in the store as far as known, and what it says of leases.
+  /// The row is in the store as far as known, and what it says.
   bool row_written = false;
   int64_t former_lease_ms = 0;
+  bool drained = false;
   bool head_pending = false;
   /// The worker process whose leases the row in the store tells of.
   std::optional<int64_t> recorded_born_ms;
@@ -55,13 +56,17 @@
                    MonotonicTime now, const std::optional<StoreRows>& rows,
                    const StoreKey& key);
 
-/// @return what the VM's row has to say of leases now, for
-/// AgentRow::former_lease_ms.
-int64_t BeginRowWrite(Registration& registration, const RunTable& table);
+/// What the VM's row has to say; the fields are those of AgentRow.
+struct RowContent {
+  int64_t former_lease_ms = 0;
+  bool drained = false;
+};
+
+RowContent BeginRowWrite(Registration& registration, RunTable& table);
 
-/// @param former_lease_ms as returned by BeginRowWrite.
+/// @param content as returned by BeginRowWrite.
 void FinishRowWrite(Registration& registration, MonotonicTime now,
-                    int64_t former_lease_ms, const StoreCommitResult& result);
+                    const RowContent& content, const StoreCommitResult& result);
 
 /// @param rows of the table of head rows; empty if the store could not be read.
 void FinishHeadRead(Registration& registration, RunTable& table,
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -273,6 +273,7 @@
   if (table.evacuation.evacuated) return kEvacuated;
   if (!table.clock_known) return "worker not heard yet";
   if (table.awaits_registration) return "planner not confirmed by the store";
+  if (table.listed_as_drained) return "listed as drained";
   if (HasUnrecordedLease(table)) return "longer lease not recorded";
   if (lease_until - now < kMinLeaseToStart) return "lease too short";
   return CheckRoom(table, TotalAdmissionSize(table), order);
@@ -681,7 +682,8 @@
   out.batch = table.batch;
   out.settled = table.settled;
   out.worker = table.worker;
-  out.awaits_registration = table.awaits_registration;
+  out.awaits_registration =
+      table.awaits_registration || table.listed_as_drained;
   out.lease_kept = table.handover.lease_kept;
   if (table.has_former_lease) {
     out.former_lease_ms = (table.former_lease_until - now).count();
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -259,6 +259,9 @@
   /// This process does not know yet which planners have been replaced, so that
   /// it starts nothing.
   bool awaits_registration = false;
+  /// The VM's row may say that the VM is drained, so that nothing is started:
+  /// a planner that takes over does not wait for the VM.
+  bool listed_as_drained = false;
 
   /// When the worker last answered a call.
   MonotonicTime worker_heard_at{};
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -369,7 +369,8 @@
       {Event::kPlannerHeard, "planner.heard", kMembership, kInfo,
        "the first order from a planner with a new epoch was received"},
       {Event::kAgentListed, "agent.listed", kMembership, kInfo,
-       "this agent wrote its row, with what it says of longer leases"},
+       "this agent wrote its row, with what it says of longer leases, and "
+       "whether the VM is drained"},
       {Event::kStartSettled, "start.settled", kMembership, kInfo,
        "the outcome of a start without an answer has become known; age is the "
        "time since the call was sent"},
--- a/source/planner/agents.cc
+++ b/source/planner/agents.cc
@@ -39,11 +39,11 @@
          earlier_leases_ended;
 }
 
-/// @return true if no task can be on the VM: its agent follows this planner,
-/// and its worker starts nothing more.
+/// @return true if no task can be on the VM: its row says so, or its agent
+/// follows this planner, and its worker starts nothing more.
 bool HasLeft(const VmEntity& vm) {
-  return vm.synced && vm.worker.draining && vm.runs.empty() &&
-         vm.uncommitted_ends.empty();
+  if (!vm.synced) return vm.row_drained;
+  return vm.worker.draining && vm.runs.empty() && vm.uncommitted_ends.empty();
 }
 
 /// @return how long the VM may be silent before it is no longer listed.
@@ -91,12 +91,15 @@
   vm.agent = *ParseAddress(agent->address);
   vm.data_centre = agent->data_centre;
   vm.row_version = row.version;
+  vm.row_drained = agent->drained;
+  if (vm.row_drained) vm.awaiting_first_sync = false;
   if (!is_new) return;
   vm.listed_at = loop_.now();
   vm.row_unproven = true;
   Log(Event::kVmListed, {{"vm", id.value},
                          {"agent", agent->address},
-                         {"former_lease_ms", agent->former_lease_ms}});
+                         {"former_lease_ms", agent->former_lease_ms},
+                         {"drained", agent->drained ? "yes" : "no"}});
   poll_generations_[id] = ++last_poll_generation_;
   Poll(id);
 }
--- a/source/planner/ownership.cc
+++ b/source/planner/ownership.cc
@@ -249,7 +249,7 @@
   planning_ = true;
   for (const StoreRow& row : agents.rows) ApplyAgentRow(row);
   for (auto& [id, vm] : board_.vms) {
-    vm.awaiting_first_sync = true;
+    vm.awaiting_first_sync = !vm.row_drained;
     // These rows were read after the claim.
     vm.row_unproven = false;
   }
--- a/source/sched/shard_state.h
+++ b/source/sched/shard_state.h
@@ -213,6 +213,8 @@
   bool unregistered = false;
   /// See SyncReport.
   bool lease_kept = false;
+  /// See AgentRow.
+  bool row_drained = false;
   /// When the leases that the VM's row tells of have expired.
   MonotonicTime recorded_lease_ends_at{};
   /// Agent process whose state was last processed.
@@ -514,9 +516,12 @@
   /// leases planners have granted; see SyncReport::former_lease_ms. 0 if no
   /// lease lasts for longer than a planner can grant one.
   int64_t former_lease_ms = 0;
+  /// Nothing runs on the VM, and its agent starts nothing before it has written
+  /// the row again.
+  bool drained = false;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AgentRow, address, data_centre,
-                                                former_lease_ms)
+                                                former_lease_ms, drained)
 
 /// Decodes the row of an agent and validates its address.
 /// @param why receives the reason if the row is not that of an agent.
--- a/tests/agent/registration_test.cc
+++ b/tests/agent/registration_test.cc
@@ -61,12 +61,12 @@
   /// @return what the row says of leases.
   int64_t WriteRow(bool committed = true) {
     REQUIRE(Next() == RegistrationStep::kWriteRow);
-    const int64_t lease_ms = BeginRowWrite(registration, table);
+    const RowContent content = BeginRowWrite(registration, table);
     StoreCommitResult result;
     result.version = RowVersion(++last_version);
     if (!committed) result.error = PlatformError::kUnknown;
-    FinishRowWrite(registration, kNow, lease_ms, result);
-    return lease_ms;
+    FinishRowWrite(registration, kNow, content, result);
+    return content.former_lease_ms;
   }
 
   void ReadHead(uint64_t epoch) {
@@ -114,6 +114,91 @@
   CHECK(MakeReport(it.table, kNow, request).epoch == PlannerEpoch(2));
 }
 
+/// A listed agent whose worker has just announced that it will leave, and whose
+/// planner has not recorded the end of the last run.
+struct LeavingAgent : StartingAgent {
+  LeavingAgent() {
+    ReadRow(StoreRows());
+    WriteRow();
+    HearWorker(60'000);
+    ReadHead(2);
+    table.last_grant_at = kNow;
+    Announce("w", true);
+    WorkerListing listing;
+    listing.clock_ms = 60'000;
+    listing.born_ms = kBornMs;
+    listing.ended = {
+        {1, {JobId("j"), 0, 0, 0}, RunNumber(1), RunEnd::kStopped, ""}};
+    ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), listing);
+  }
+
+  void Announce(const std::string& id, bool draining) {
+    WorkerHello hello;
+    hello.worker.id = WorkerId(id);
+    hello.worker.draining = draining;
+    hello.born_ms = kBornMs;
+    ApplyWorkerHello(table, kNow, hello);
+  }
+
+  void RecordEnds() {
+    SyncRequest request;
+    request.epoch = table.epoch;
+    request.life = table.life;
+    request.ends_recorded = table.last_end;
+    ApplySyncRequest(table, kNow, request);
+  }
+
+  /// @return whether the row says that the VM is drained.
+  bool WriteDrained() {
+    REQUIRE(Next() == RegistrationStep::kWriteRow);
+    const RowContent content = BeginRowWrite(registration, table);
+    StoreCommitResult result;
+    result.version = RowVersion(++last_version);
+    FinishRowWrite(registration, kNow, content, result);
+    return content.drained;
+  }
+};
+
+// LOST, review/13: a planner that took over waited for a VM that had been
+// emptied and was gone.
+TEST_CASE("a VM says in its row that it is drained once all ends are stored") {
+  LeavingAgent it;
+  CHECK(it.Next() == RegistrationStep::kNone);
+  it.RecordEnds();
+  CHECK(it.WriteDrained());
+  CHECK(it.Next() == RegistrationStep::kNone);
+}
+
+TEST_CASE("a VM that may run a late start does not say that it is drained") {
+  LeavingAgent it;
+  it.RecordEnds();
+  it.table.late_starts[{JobId("k"), 0, 0, 0}] = {kNow + Duration(1)};
+  CHECK(it.Next() == RegistrationStep::kNone);
+}
+
+// TWICE: the next planner would not wait for a VM that runs tasks again.
+TEST_CASE("a drained VM is listed anew before it starts tasks") {
+  LeavingAgent it;
+  it.RecordEnds();
+  it.WriteDrained();
+  it.Announce("next", false);
+  it.HearWorker(60'000);
+  CHECK(MakeReport(it.table, kNow, {}).awaits_registration);
+  SUBCASE("by the same process of the agent") {}
+  SUBCASE("by one that learns so from the row") {
+    it.table.listed_as_drained = false;
+    it.registration = {};
+    it.ReadRow(RowOf({"10.0.2.1:7000", DataCentreId("dc"), 0, true}));
+    CHECK(it.table.listed_as_drained);
+  }
+  CHECK_FALSE(it.WriteDrained());
+  CHECK(it.table.listed_as_drained);
+  it.ReadHead(3);
+  CHECK_FALSE(it.table.listed_as_drained);
+  CHECK_FALSE(MakeReport(it.table, kNow, {}).awaits_registration);
+  CHECK(it.table.epoch == PlannerEpoch(3));
+}
+
 TEST_CASE("an agent that cannot read the head row keeps trying") {
   StartingAgent it;
   it.ReadRow(StoreRows());
--- a/tests/planner/deadly_tasks_test.cc
+++ b/tests/planner/deadly_tasks_test.cc
@@ -47,7 +47,7 @@
   Registration registration;
   /// Call to the store that has not been answered yet.
   RegistrationStep store_call = RegistrationStep::kNone;
-  int64_t lease_written_ms = 0;
+  RowContent written;
   MonotonicTime store_answers_at{};
 };
 
@@ -242,7 +242,7 @@
     vm.store_call = NextRegistrationStep(vm.registration, vm.agent, now_);
     vm.store_answers_at = now_ + kStoreDelay;
     if (vm.store_call == RegistrationStep::kWriteRow)
-      vm.lease_written_ms = BeginRowWrite(vm.registration, vm.agent);
+      vm.written = BeginRowWrite(vm.registration, vm.agent);
   }
 
   void AnswerStoreCall(SimulatedVm& vm) {
@@ -253,7 +253,7 @@
       case RegistrationStep::kReadRow:
         return FinishRowRead(vm.registration, vm.agent, now_, std::nullopt, {});
       case RegistrationStep::kWriteRow:
-        return FinishRowWrite(vm.registration, now_, vm.lease_written_ms, {});
+        return FinishRowWrite(vm.registration, now_, vm.written, {});
       case RegistrationStep::kReadHead:
         return FinishHeadRead(vm.registration, vm.agent, now_, StoreRows());
     }
--- a/tests/planner/handover_test.cc
+++ b/tests/planner/handover_test.cc
@@ -109,6 +109,21 @@
   CHECK(it.fleet().doubled().empty());
 }
 
+TEST_CASE("no task waits for a VM that was emptied before it fell silent") {
+  HandoverFleet it(Duration(1'000));
+  const size_t emptied = OtherVm(it.run(1).vm);
+  it.fleet().DrainWorker(emptied);
+  // The earlier planner has heard the end, and starts the task 50 ms later.
+  while (!it.run(1).ended_at) it.fleet().Advance(Duration(5));
+  it.fleet().Advance(Duration(20));
+  REQUIRE(it.fleet().runs().size() == 1);
+  it.LosePlannerAndVm(emptied);
+  it.fleet().Advance(kMaxWait);
+  CHECK(it.fleet().runs().size() == 2);
+  it.fleet().Advance(kLongestTakeover);
+  CHECK(it.fleet().doubled().empty());
+}
+
 TEST_CASE("a task that may run on a silent VM waits for it") {
   HandoverFleet it(Duration(1'000));
   it.WaitForRuns(1);
--- a/tests/planner/partition_test.cc
+++ b/tests/planner/partition_test.cc
@@ -67,6 +67,7 @@
     kRestartWorker,
     /// Restarts the entries that plan the shard at that time.
     kRestartPlanners,
+    kDrainWorker,
   };
 
   Duration from{};
@@ -369,6 +370,22 @@
   return out;
 }
 
+/// Adds workers that drain and are replaced some time later, drawn apart, so
+/// that a seed makes the same plan otherwise.
+void AddDrains(Plan& plan) {
+  Random random(plan.seed + 3);
+  for (int64_t n = Draw(random, 0, 2); n > 0; --n) {
+    Fault fault;
+    fault.target = DrawIndex(random, plan.vms);
+    fault.once = Fault::Once::kDrainWorker;
+    const Duration at = kFirstFault + DrawTime(random, 0, 20'000);
+    AddFault(plan, fault, at, kStep);
+    fault.once = Fault::Once::kRestartWorker;
+    AddFault(plan, fault, at + DrawTime(random, 500, 8'000), kStep);
+  }
+  SortFaults(plan);
+}
+
 /// @param unix_ms Unix time at the start of the simulation.
 Plan MakePlan(uint64_t seed, int64_t unix_ms) {
   Random random(seed);
@@ -388,6 +405,7 @@
       if (step.copies_allowed) step.estimate_ms = kEstimateMs;
     }
   }
+  AddDrains(out);
   return out;
 }
 
@@ -409,6 +427,7 @@
   }
   DrawFaults(random, out, 1);
   DrawEpisodes(random, out);
+  AddDrains(out);
   return out;
 }
 
@@ -591,6 +610,8 @@
         return fleet_.RestartAgent(fault.target, fault.renewal);
       case Fault::Once::kRestartWorker:
         return fleet_.RestartWorker(fault.target, fault.renewal);
+      case Fault::Once::kDrainWorker:
+        return fleet_.DrainWorker(fault.target);
       case Fault::Once::kRestartPlanners:
         for (const size_t entry : fleet_.ListPlanners())
           fleet_.RestartEntry(entry);
@@ -733,7 +754,8 @@
                                    " release at entry",
                                    " restart agent",
                                    " restart worker",
-                                   " restart planners, not"};
+                                   " restart planners, not",
+                                   " drain worker"};
   if (fault.once != Fault::Once::kNothing) {
     out += kOnce[static_cast<size_t>(fault.once)] + std::string(" ") +
            std::to_string(fault.target);
--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -380,6 +380,11 @@
   });
 }
 
+void SimulatedFleet::DrainWorker(size_t vm) {
+  vms_[vm].worker.draining = true;
+  Announce(vm);
+}
+
 // Agents.
 
 void SimulatedFleet::StartAgent(size_t vm) {
@@ -401,6 +406,7 @@
   WorkerHello hello;
   hello.worker.id = vms_[vm].worker.id;
   hello.worker.service = kService;
+  hello.worker.draining = vms_[vm].worker.draining;
   hello.worker.capacity = {MilliCpu(8'000), Mebibytes(8'000), Accelerators(0)};
   hello.born_ms = vms_[vm].worker.born_at.time_since_epoch().count() + 1;
   if (!ReceiveWorkerHello(agent.table, agent.loop.now(), hello)) return;
@@ -439,13 +445,14 @@
 
 void SimulatedFleet::WriteAgentRow(size_t vm, const StoreKey& row) {
   Agent& agent = *vms_[vm].agent;
-  const int64_t lease_ms = BeginRowWrite(agent.registration, agent.table);
+  const RowContent content = BeginRowWrite(agent.registration, agent.table);
   StoreTransaction rows;
   rows.checks.push_back({row, agent.registration.row_version});
-  rows.puts.push_back({row, EncodeRow(AgentRow{ToString(AgentAddress(vm)),
-                                               DataCentreOf(vm), lease_ms})});
-  agent.store.commit(rows, [&agent, lease_ms](const StoreCommitResult& result) {
-    FinishRowWrite(agent.registration, agent.loop.now(), lease_ms, result);
+  rows.puts.push_back(
+      {row, EncodeRow(AgentRow{ToString(AgentAddress(vm)), DataCentreOf(vm),
+                               content.former_lease_ms, content.drained})});
+  agent.store.commit(rows, [&agent, content](const StoreCommitResult& result) {
+    FinishRowWrite(agent.registration, agent.loop.now(), content, result);
   });
 }
 
--- a/tests/planner/simulated_fleet.h
+++ b/tests/planner/simulated_fleet.h
@@ -117,6 +117,9 @@
   void RestartWorker(size_t vm,
                      RenewalOnItsWay renewal = RenewalOnItsWay::kCarriedOut);
 
+  /// The worker announces that it will leave.
+  void DrainWorker(size_t vm);
+
   /// Decides how a run ends and after which time, or, without a time, that it
   /// runs until it is stopped. Called for the first task of a gang once all its
   /// tasks run.
@@ -177,6 +180,7 @@
     WorkerId id;
     MonotonicTime born_at{};
     uint64_t fencing = 0;
+    bool draining = false;
     MonotonicTime lease_until{};
     uint64_t last_end = 0;
     /// Indexes into `runs_`.
