--- a/source/sched/ownership.cc
+++ b/source/sched/ownership.cc
@@ -29,7 +29,8 @@
 MonotonicTime EndOfEarlierLeases(const ShardState& shard) {
   // A planner that was replaced may still grant leases until its last confirmed
   // ownership is too old.
-  MonotonicTime last_grant = shard.last_earlier_proof_at + kOwnershipProofValidity;
+  MonotonicTime last_grant =
+      shard.last_earlier_proof_at + kOwnershipProofValidity;
   if (shard.earlier_planners_stopped_at != MonotonicTime{}) {
     last_grant = std::min(last_grant, shard.earlier_planners_stopped_at);
   }
