--- a/bench/policy/planner_bench.cc
+++ b/bench/policy/planner_bench.cc
@@ -75,7 +75,7 @@
 ShardState FullShard(int64_t vms) {
   ShardState shard;
   shard.epoch = PlannerEpoch(1);
-  shard.took_over_at = kStart;
+  shard.last_earlier_proof_at = kStart;
   Decisions log;
   for (int64_t i = 0; i < vms; ++i) {
     VmEntity& vm = shard.vms[VmId("side-" + std::to_string(i))];
