--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -188,9 +188,9 @@
   }
 }
 
-/// Keeps a run whose lease has expired, since the worker's next process may
-/// have begun it again.
-void HoldRun(RunTable& table, MonotonicTime now, AgentRun& run) {
+/// Notes for the log that a run is kept although its lease has expired, since
+/// the worker's next process may have begun it again.
+void NoteHeldRun(RunTable& table, MonotonicTime now, AgentRun& run) {
   if (std::exchange(run.hold_logged, true)) return;
   table.held_run_notes.push_back(
       {run.order.task, run.order.run, LateRunLeft(table, now, run.order.task)});
@@ -201,7 +201,7 @@
     const auto next = std::next(it);
     AgentRun& run = it->second;
     if (MayRunUnheard(table, now, it->first)) {
-      HoldRun(table, now, run);
+      NoteHeldRun(table, now, run);
       it = next;
       continue;
     }
