Listen on a free port in the test of dropped links

Cause: peer_test and peer_test_memory play the same test, which listens on a fixed port, and CTest may start them together. Run side by side by hand, valgrind's failed in 5 of 6 tries, always at Listen. Change: the test takes a free port, as wire_test does; the function moves to a header. Nothing is checked less.

--- a/tests/peer/links_test.cc
+++ b/tests/peer/links_test.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <vector>
 
+#include "wire/free_port.h"
 #include "wire/http_server.h"
 
 namespace almondtally {
@@ -43,7 +44,7 @@
   // closes.
   EventLoop loop;
   WireReason why;
-  const Address address{"127.0.0.1", 28'117};
+  const Address address{"127.0.0.1", FreePort()};
   HttpServer server(loop, {}, [](const Exchange& exchange) {
     static std::vector<Exchange> kept;
     kept.push_back(exchange);
--- a/tests/wire/wire_test.cc
+++ b/tests/wire/wire_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <thread>
 
+#include "wire/free_port.h"
 #include "wire/http_client.h"
 #include "wire/http_server.h"
 #include "wire/peer_link.h"
@@ -20,19 +21,6 @@
 
 constexpr Duration kTimeout{5'000};
 
-/// @return a loopback port that nothing listens on.
-uint16_t FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in sin{};
-  sin.sin_family = AF_INET;
-  sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&sin), sizeof sin) == 0);
-  socklen_t n = sizeof sin;
-  getsockname(fd, reinterpret_cast<sockaddr*>(&sin), &n);
-  close(fd);
-  return ntohs(sin.sin_port);
-}
-
 /// Echoes the request body. Some paths simulate a fault instead: "/silent"
 /// sends no response, "/cut" aborts after part of the body, "/late" responds
 /// after 50 ms.
