Log which leases an agent counted on when it ended runs

Change: event 9316 worker.runs_lapsed with the time since the end of the leases that this process sent, and of those that the worker took for its former process, and the age of this process; worker.call_failed names the worker process by its start (born_ms). Measured: nothing yet; the logic is unchanged.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -284,6 +284,7 @@
        {"task", ToString(task)},
        {"run", static_cast<int64_t>(run.value)},
        {"worker", call.worker.value},
+       {"born_ms", table_.worker_born_ms},
        {"fencing", static_cast<int64_t>(call.fencing)},
        {"outcome", static_cast<int64_t>(result.outcome)},
        {"reason", result.text}});
@@ -310,6 +311,21 @@
   }
 }
 
+void Agent::LogLapses() {
+  constexpr int64_t kNoLease = -1;
+  const auto in_ms = [](const std::optional<Duration>& time) {
+    return time ? time->count() : kNoLease;
+  };
+  for (const LapseNote& it : std::exchange(table_.lapse_notes, {})) {
+    Log(Event::kRunsLapsed, {{"worker", table_.worker.id.value},
+                             {"born_ms", table_.worker_born_ms},
+                             {"runs", it.runs},
+                             {"since_sent_ms", in_ms(it.since_sent)},
+                             {"since_former_ms", in_ms(it.since_former)},
+                             {"age_ms", it.age.count()}});
+  }
+}
+
 void Agent::LogMissedTargets() {
   for (const PaceNote& it : std::exchange(table_.pace_notes, {})) {
     Log(Event::kPauseConfirmed, {{"task", ToString(it.task)},
@@ -371,6 +387,7 @@
   ExpireLeases(table_, loop_.now());
   LogSettledStarts();
   LogHeldRuns();
+  LogLapses();
   Renew();
   SendWorkerCalls();
   LogMissedTargets();
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -53,6 +53,7 @@
   void Renew();
   void LogSettledStarts();
   void LogHeldRuns();
+  void LogLapses();
   void LogMissedTargets();
   void SendWorkerCalls();
   void AnswerPendingSyncs();
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -196,7 +196,23 @@
       {run.order.task, run.order.run, LateRunLeft(table, now, run.order.task)});
 }
 
+/// @return the time since `time`; empty if there is none.
+std::optional<Duration> TimeSince(MonotonicTime now, MonotonicTime time) {
+  if (time == MonotonicTime{}) return std::nullopt;
+  return now - time;
+}
+
+/// Notes for the log which leases were counted on when runs were ended.
+void NoteLapse(RunTable& table, MonotonicTime now, size_t runs) {
+  if (runs == 0) return;
+  table.lapse_notes.push_back({static_cast<int64_t>(runs),
+                               TimeSince(now, table.lease_sent_until),
+                               TimeSince(now, table.former_lease_until),
+                               now - table.started_at});
+}
+
 void EndRunsAsLapsed(RunTable& table, MonotonicTime now) {
+  const size_t runs_before = table.runs.size();
   for (auto it = table.runs.begin(); it != table.runs.end();) {
     const auto next = std::next(it);
     AgentRun& run = it->second;
@@ -216,6 +232,7 @@
     EndRunLocally(table, it, end, "the worker is silent");
     it = next;
   }
+  NoteLapse(table, now, runs_before - table.runs.size());
 }
 
 Resources AdmissionSize(const Resources& size, bool filler) {
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -127,6 +127,19 @@
   Duration left{};
 };
 
+/// Runs were ended because the worker was silent for longer than the leases
+/// that it may hold. Says which leases were counted on.
+struct LapseNote {
+  int64_t runs = 0;
+  /// Time since the end of the leases that this process has sent, and of those
+  /// that the worker took from calls meant for its former process; empty if
+  /// none is known.
+  std::optional<Duration> since_sent;
+  std::optional<Duration> since_former;
+  /// Time since this process started.
+  Duration age{};
+};
+
 /// A start that went unanswered and whose outcome has become known.
 struct SettledStart {
   TaskKey task;
@@ -282,6 +295,7 @@
   /// For the log; the caller removes them.
   std::vector<SettledStart> settled_starts;
   std::vector<HeldRunNote> held_run_notes;
+  std::vector<LapseNote> lapse_notes;
   std::vector<PaceNote> pace_notes;
   std::vector<LongMissNote> long_misses;
   /// How long a task may miss its target beside fillers; 0 if unknown.
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -400,6 +400,11 @@
        "the worker has been silent for longer than its leases, and a run is "
        "kept because a start call went unanswered, which the worker's next "
        "process may carry out; with the longest time for which it is kept"},
+      {Event::kRunsLapsed, "worker.runs_lapsed", kMembership, kWarning,
+       "the worker has been silent for longer than its leases, and its runs "
+       "are ended; with the time since the end of the leases that this "
+       "process sent, and of those that the worker took for its former "
+       "process (-1: none), and the age of this process"},
       {Event::kSettingsReloaded, "settings.reloaded", kProcess, kInfo,
        "the settings were reloaded, with what changed"},
   };
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -133,6 +133,7 @@
   kFillersHeld = 9313,
   kFormerLeaseRecorded = 9314,
   kRunHeld = 9315,
+  kRunsLapsed = 9316,
   kSettingsReloaded = 9401,
 };
 
