--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "agent/registration.h"
+
 namespace almondtally::sched {
 namespace {
 
@@ -1061,6 +1063,29 @@
   CHECK(Ends(table)[0].end == RunEnd::kLapsed);
 }
 
+// TWICE, issue 66: the run was ended with the first renewal that went
+// unanswered, under a lease that nobody counted on.
+TEST_CASE("runs outlast a restart of the agent beside a silent worker" *
+          doctest::should_fail()) {
+  constexpr int64_t kOldWorkerMs = 60'000;
+  RunTable table;
+  table.life = AgentIncarnation(8);
+  table.started_at = kNow;
+  BeginRegistration(table, kNow);
+  ApplyWorkerHello(table, kNow, Hello());
+  ApplySyncRequest(table, kNow, Request(table));
+  WorkerListing listing = Listing(kOldWorkerMs);
+  listing.running = {{kTask, RunNumber(3), "", 40, -1}};
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), listing);
+  HandleRenewalFailure(table, kNow, *BeginRenewal(table, kNow),
+                       {CallOutcome::kUnknown, "timeout"});
+  ExpireLeases(table, kNow + kLeaseGrantDuration);
+  CHECK(table.runs.contains(kTask));
+  ExpireLeases(table, kNow + kMaxLeaseDuration + Duration(1'000));
+  REQUIRE(Ends(table).size() == 1);
+  CHECK(Ends(table)[0].end == RunEnd::kLapsed);
+}
+
 TEST_CASE("renewals that do not reach the worker extend no lease") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
--- a/tests/planner/former_lease_takeover_test.cc
+++ b/tests/planner/former_lease_takeover_test.cc
@@ -22,6 +22,8 @@
 constexpr size_t kVms = 2;
 /// A lease on the clock of so old a process is longer than any on a new one.
 constexpr Duration kOldWorker{15'000};
+/// Calls that were meant for a former process of this worker have ended.
+constexpr Duration kVeryOldWorker{30'000};
 constexpr Duration kRunTime{100};
 
 std::string Join(const std::vector<std::string>& lines) {
@@ -207,6 +209,33 @@
   CHECK(fleet.doubled().empty());
 }
 
+// TWICE, issue 66: an agent that had heard its worker, and not yet sent it a
+// lease, counted on no lease of its former process.
+TEST_CASE("runs outlast a restart of the agent beside a silent worker" *
+          doctest::should_fail()) {
+  // The planner calls the new process within this time.
+  constexpr Duration kFirstCalls{1'500};
+  for (Duration delay{0}; delay < kFirstCalls; delay += kStep) {
+    SimulatedFleet fleet(kEntries, kVms);
+    fleet.Advance(kVeryOldWorker);
+    REQUIRE(fleet.ListPlanners().size() == 1);
+    Submit(fleet, fleet.ListPlanners()[0], "j");
+    fleet.Advance(Duration(1'000));
+    const auto vm = FindRunningVm(fleet);
+    REQUIRE(vm);
+    fleet.RestartAgent(*vm, RenewalOnItsWay::kLost);
+    fleet.Advance(delay);
+    fleet.SetWorkerLink(*vm, WorkerLink::kLost);
+    fleet.Advance(Duration(1'500));
+    fleet.SetWorkerLink(*vm, WorkerLink::kUp);
+    fleet.Advance(kMaxHold);
+    CAPTURE(delay.count());
+    CAPTURE(Join(fleet.doubled()));
+    CHECK(fleet.doubled().empty());
+    CHECK(fleet.runs().size() == 1);
+  }
+}
+
 // TWICE: the next process of the worker carries out a renewal that acknowledges
 // ends of the former one, and forgets its own end of that number.
 TEST_CASE("a late renewal forgets no end of the worker's next process" *
