--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -437,6 +437,7 @@
 void RecordLeaseResult(RunTable& table, MonotonicTime now,
                        const WorkerCall& call, MonotonicTime lease_until,
                        CallOutcome outcome) {
+  if (call.lease_until_ms == 0) return;
   if (outcome == CallOutcome::kUnknown && call.worker == table.worker.id) {
     RecordUnansweredLease(table, now, call.lease_until_ms);
   }
