Number a run after an adopted one above all before it

What callers would see: two runs of a task under one number.

Cause: a task that adopts a run which its VM reports takes over that run's number. If it is an earlier run that began late, the task's next run was given a number that an ended run had already.

Change: the highest number so far is kept in highest_run, as for copies.

Before, sched_test "a run after an adopted one has a higher number than all before": reports_test.cc:81: ERROR: CHECK( vm.runs.at(task).run == RunNumber(4) ) is NOT correct! It holds now; sched_test 227 of 227.

--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -353,6 +353,7 @@
     task->refused_starts = 0;
   }
   if (is_adopted) {
+    task->highest_run = HighestRun(*task);
     task->phase = TaskPhase::kPlaced;
     task->vm = vm.id;
     task->run = report.run;
--- a/tests/sched/reports_test.cc
+++ b/tests/sched/reports_test.cc
@@ -56,6 +56,31 @@
   CHECK(vm.runs.at(Key("j", 0, 0)).run == RunNumber(1));
 }
 
+// TWICE, issue 66: the numbers of later runs were used again.
+TEST_CASE("a run after an adopted one has a higher number than all before") {
+  ShardState shard = NewBoard();
+  VmEntity& vm = AddVm(shard, "a");
+  AcceptJob(shard, "j", {Step(1, 1'000)});
+  const TaskKey task = Key("j", 0, 0);
+  MonotonicTime now = kNow;
+  for (uint64_t run = 1; run <= 3; ++run) {
+    now += Duration(5'000);
+    Place(shard, now);
+    REQUIRE(vm.runs.contains(task));
+    CHECK(vm.runs.at(task).run == RunNumber(run));
+    EndRun(shard, vm, task, RunNumber(run), RunEnd::kNotStarted, now);
+  }
+  SyncReport report = Report(vm);
+  report.runs.push_back(Running(task, RunNumber(1)));
+  Decisions log;
+  ApplyReport(shard, now, vm, report, log);
+  CHECK(FindTask(shard, task)->phase == TaskPhase::kPlaced);
+  EndRun(shard, vm, task, RunNumber(1), RunEnd::kLapsed, now);
+  Place(shard, now + Duration(5'000));
+  REQUIRE(vm.runs.contains(task));
+  CHECK(vm.runs.at(task).run == RunNumber(4));
+}
+
 TEST_CASE("a start that no report has confirmed goes to the restarted agent") {
   ShardState shard = NewBoard();
   VmEntity& vm = AddVm(shard, "a");
