Report a run again that keeps a later one from its start

Cause: a copy of run 2001 began late on vm2. Before the planner heard of it, it ordered run 2003 there. The planner leaves a report of a lower run aside while it has a later one on the VM; the agent refused run 2003 ("an older run is still here"), and did not report run 2001 again, since nothing of it had changed. The task was free, and run 2004 began on vm3.

Change: the refusal counts as a change of the older run. Its report follows the end of the later one, and the planner adopts the run.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -335,6 +335,9 @@
     if (refusal == kEvacuated) ++table.evacuation_refusals;
     AddEnd(table, order.task, order.run, RunEnd::kNotStarted, order.checkpoint,
            std::move(refusal));
+    // A planner that ordered a later run did not know of this one, and leaves
+    // reports of it aside until that order has ended.
+    if (it != table.runs.end()) MarkChanged(table, it->second);
     return;
   }
   AgentRun run;
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -1389,6 +1389,26 @@
 }
 
 // The worker itself may have forgotten the run: it has started again.
+// TWICE, issue 66: a run that had begun late was reported while a later one was
+// ordered here, and not again, so that its task was placed on another VM.
+TEST_CASE("a run is reported again that keeps a later one from its start") {
+  RunTable table = Ready();
+  const auto renewal = BeginRenewal(table, kNow);
+  REQUIRE(renewal);
+  WorkerListing listing = Listing();
+  listing.running.push_back({kTask, RunNumber(1), "", 0, -1});
+  ApplyWorkerListing(table, kNow, *renewal, listing);
+  SyncRequest request = Request(table);
+  request.seen_version = MakeReport(table, kNow, request).version;
+  CHECK(MakeReport(table, kNow, request).runs.empty());
+  Order(table, {Start(kTask, 2)});
+  const SyncReport report = MakeReport(table, kNow, request);
+  REQUIRE(report.ends.size() == 1);
+  CHECK(report.ends[0].run == RunNumber(2));
+  REQUIRE(report.runs.size() == 1);
+  CHECK(report.runs[0].run == RunNumber(1));
+}
+
 TEST_CASE("a run that is done is not started by a copy of its order") {
   RunTable table = Ready();
   SyncRequest copy = Request(table, 1);
