Send an unanswered start once more after a silence of the worker

A worker answered no call for over a second; the agent gave its unanswered starts up ("start unanswered") as soon as it answered, and the tasks went to other VMs. The worker crashed within the time in which the calls could still arrive, and its next process, which nobody heard, carried one out.

Cause: the second for which a start is sent again began with the first call, so that after a silence of a second the start was never sent again, although the worker answered and the call was void for it.

Change: a start is given up only once it was sent again. That costs no time: the worker has just answered. One that leaves starts unanswered still loses them after the second.

Before, planner_test "a start outlasts a short silence of the worker at the same VM": two runs at once: j.0.0.0 run 2 on vm1 from 16900 ms; j.0.0.0 run 1 on vm0 from 19020 ms It holds now.

--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -40,8 +40,8 @@
 constexpr int64_t kUnknownPace = -1;
 /// Delay before an unconfirmed stop or pace call is repeated.
 constexpr Duration kCallRetryInterval{500};
-/// How long an unanswered start is sent again to the same worker before the
-/// task is left to another one.
+/// How long an unanswered start is sent again to the same worker, at least
+/// once, before the task is left to another one.
 constexpr Duration kStartRetryTime{1'000};
 /// Delay before a start is repeated that the worker has refused.
 constexpr Duration kStartRetryInterval{100};
@@ -307,8 +307,11 @@
   if (table.evacuation.evacuated) return kEvacuated;
   if (run.stop_requested) return kStoppedBeforeStart;
   const bool was_unanswered = run.first_unanswered_at != MonotonicTime{};
-  if (was_unanswered && now - run.first_unanswered_at > kStartRetryTime)
+  const bool was_repeated = run.start_sent_at > run.first_unanswered_at;
+  if (was_unanswered && was_repeated &&
+      now - run.first_unanswered_at > kStartRetryTime) {
     return "start unanswered";
+  }
   if (lease_until - now < kMinLeaseToStart) return "lease too short";
   // The capacity may have shrunk since the order was admitted.
   return CheckRoom(table, reserved, run.order);
--- a/tests/planner/former_lease_takeover_test.cc
+++ b/tests/planner/former_lease_takeover_test.cc
@@ -179,6 +179,33 @@
   CHECK(fleet.doubled().empty());
 }
 
+// TWICE: the worker answered no call for longer than starts are sent again, and
+// the task was left to another VM as soon as it answered.
+TEST_CASE("a start outlasts a short silence of the worker at the same VM") {
+  SimulatedFleet fleet(kEntries, kVms);
+  fleet.Advance(kOldWorker);
+  REQUIRE(fleet.ListPlanners().size() == 1);
+  fleet.SetLateCallDelay(Duration(4'000));
+  for (size_t vm = 0; vm < kVms; ++vm)
+    fleet.SetWorkerLink(vm, WorkerLink::kCarriedOutLate);
+  Submit(fleet, fleet.ListPlanners()[0], "j");
+  fleet.Advance(Duration(1'500));
+  const auto called = FindCalledVm(fleet);
+  REQUIRE(called);
+  for (size_t vm = 0; vm < kVms; ++vm) fleet.SetWorkerLink(vm, WorkerLink::kUp);
+  REQUIRE(WaitForRun(fleet));
+  fleet.SetWorkerLink(*called, WorkerLink::kLost);
+  fleet.RestartWorker(*called);
+  fleet.Advance(kMaxHold);
+  const auto& runs = fleet.runs();
+  const auto is_late = [&](const SimulatedRun& it) {
+    return it.vm == *called && it.run == RunNumber(1);
+  };
+  REQUIRE(std::any_of(runs.begin() + 1, runs.end(), is_late));
+  CAPTURE(Join(fleet.doubled()));
+  CHECK(fleet.doubled().empty());
+}
+
 // TWICE: the new process of the worker takes a lease of the longest length from
 // a call of the former process of the agent, of which the new one knows
 // nothing.
