Wait for starts of a former agent process on a silent VM

An agent restarted 35 ms after it had sent a start that went unanswered, its worker restarted, and the VM was cut off. The worker's next process carried the call out; 5.35 s after the VM's last lease the planner placed the task elsewhere.

Cause: a planner waits for a late start on a silent VM only if the agent has reported it. The process that knew of the call had ended before it could, and the next one knows nothing of it.

Change: with the first report of another process of the agent, the planner notes for each start that its former process had not confirmed that it may begin late (15 s for the call and 10.3 s for the longest lease). The task waits only if the VM is silent from then on; a VM that is heard ends the wait as before.

Before, planner_test "a start of a former agent process is waited for on a silent VM": two runs at once: j.0.0.0 run 1 on vm0 from 18020 ms; j.0.0.0 run 2 on vm1 from 20415 ms It holds now.

--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -29,6 +29,9 @@
 constexpr Duration kLongestMissBelieved{600'000};
 /// A late run that an agent reports to last longer than this is not believed.
 constexpr Duration kLongestLateRun{60'000};
+/// A start call without an answer begins its run by then, and the longest lease
+/// of a worker has ended.
+constexpr Duration kLateRunTime{15'000 + 10'300};
 /// Delay before a lasting task that failed is restarted.
 constexpr Duration kLastingRestartDelay{50};
 
@@ -314,8 +317,14 @@
   run.measurement = report.measurement;
   run.over_target_ms = report.over_target_ms;
   run.held_by_agent = report.held;
-  run.late_run_until = now + std::clamp(Duration(report.late_run_ms),
-                                        Duration(0), kLongestLateRun);
+  const MonotonicTime late_run_until =
+      now +
+      std::clamp(Duration(report.late_run_ms), Duration(0), kLongestLateRun);
+  // A later process of the agent does not know of an earlier one's calls.
+  const bool may_be_later = report.phase == RunPhase::kStarting;
+  run.late_run_until = may_be_later
+                           ? std::max(run.late_run_until, late_run_until)
+                           : late_run_until;
   run.speed_limit_sent = report.pace;
   const StepSpec* step = FindStep(shard, report.task);
   if (step != nullptr && !run.known) {
@@ -432,6 +441,17 @@
   vm.worker = worker;
 }
 
+/// Notes that starts which the former process of the agent has not confirmed
+/// may be calls on their way to the worker.
+void ExpectLateRuns(VmEntity& vm, MonotonicTime now) {
+  for (auto& [task, run] : vm.runs) {
+    const bool may_be_called =
+        run.seen || run.start_batch != 0 || run.maybe_sent;
+    if (run.phase == RunPhase::kStarting && may_be_called)
+      run.late_run_until = now + kLateRunTime;
+  }
+}
+
 }  // namespace
 
 void ApplyReport(ShardState& shard, MonotonicTime now, VmEntity& vm,
@@ -441,6 +461,7 @@
     // A new agent process needs its own range of fencing numbers even before it
     // knows its worker.
     vm.reporting_incarnation = report.life;
+    ExpectLateRuns(vm, now);
     ++vm.incarnations_seen;
   }
   if (!report.settled) return;
--- a/tests/planner/former_lease_takeover_test.cc
+++ b/tests/planner/former_lease_takeover_test.cc
@@ -236,6 +236,33 @@
   CHECK(fleet.doubled().empty());
 }
 
+// TWICE: the former process of the agent had sent the start and not reported it
+// before the VM fell silent.
+TEST_CASE("a start of a former agent process is waited for on a silent VM") {
+  SimulatedFleet fleet(kEntries, kVms);
+  fleet.Advance(kOldWorker);
+  REQUIRE(fleet.ListPlanners().size() == 1);
+  fleet.SetLateCallDelay(Duration(3'000));
+  for (size_t vm = 0; vm < kVms; ++vm)
+    fleet.SetWorkerLink(vm, WorkerLink::kCarriedOutLate);
+  Submit(fleet, fleet.ListPlanners()[0], "j");
+  std::optional<size_t> called;
+  for (Duration waited{0}; !called && waited < kMaxWait; waited += kStep) {
+    fleet.Advance(kStep);
+    called = FindCalledVm(fleet);
+  }
+  REQUIRE(called);
+  fleet.RestartAgent(*called, RenewalOnItsWay::kLost);
+  fleet.Advance(Duration(2'000));
+  CutOffFromEntries(fleet, *called);
+  fleet.RestartWorker(*called);
+  fleet.SetWorkerLink(1 - *called, WorkerLink::kUp);
+  fleet.Advance(kMaxHold);
+  REQUIRE_FALSE(fleet.runs().empty());
+  CAPTURE(Join(fleet.doubled()));
+  CHECK(fleet.doubled().empty());
+}
+
 // TWICE, issue 66: an agent that had heard its worker, and not yet sent it a
 // lease, counted on no lease of its former process.
 TEST_CASE("runs outlast a restart of the agent beside a silent worker") {
