Show that a restarted agent calls a VM drained too early (failing)

Cause: an agent says in its VM's row that nothing is on its way there once it knows of no unanswered start, but the starts that its earlier process left unanswered are forgotten. An empty late_starts is taken for proof. The next planner does not wait for the VM, where the worker's next process carries such a start out.

--- a/tests/agent/registration_test.cc
+++ b/tests/agent/registration_test.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "agent/former_lease.h"
 #include "sched/shard_state.h"
 
 namespace almondtally::sched {
@@ -176,6 +177,26 @@
   CHECK(it.Next() == RegistrationStep::kNone);
 }
 
+// TWICE: a restarted agent does not know of starts that its earlier process
+// left unanswered, which the worker's next process may carry out.
+TEST_CASE(
+    "a VM does not say that it is drained while earlier starts may arrive" *
+    doctest::should_fail()) {
+  LeavingAgent it;
+  it.RecordEnds();
+  const auto list = [&](MonotonicTime now) {
+    WorkerListing listing;
+    listing.clock_ms = 60'000;
+    listing.born_ms = kBornMs;
+    ApplyWorkerListing(it.table, now, *BeginRenewal(it.table, now), listing);
+  };
+  list(kNow + detail::kMaxCallDelay);
+  CHECK(it.Next(kNow + detail::kMaxCallDelay) == RegistrationStep::kNone);
+  list(kNow + detail::kMaxCallDelay + Duration(1));
+  CHECK(it.Next(kNow + detail::kMaxCallDelay + Duration(1)) ==
+        RegistrationStep::kWriteRow);
+}
+
 // TWICE: the next planner would not wait for a VM that runs tasks again.
 TEST_CASE("a drained VM is listed anew before it starts tasks") {
   LeavingAgent it;
