Log why a draining worker's VM is not called drained yet

Change: event 9317 vm.not_yet_drained with the first condition that fails, once per change of the reason. IsDrained uses the same function, with the same conditions.

--- a/source/agent/agent.cc
+++ b/source/agent/agent.cc
@@ -326,6 +326,15 @@
   }
 }
 
+void Agent::LogDraining() {
+  const char* const reason =
+      table_.worker.draining ? WhyNotDrained(table_) : nullptr;
+  if (std::exchange(not_drained_reason_, reason) == reason) return;
+  if (reason == nullptr) return;
+  Log(Event::kNotYetDrained,
+      {{"worker", table_.worker.id.value}, {"reason", reason}});
+}
+
 void Agent::LogMissedTargets() {
   for (const PaceNote& it : std::exchange(table_.pace_notes, {})) {
     Log(Event::kPauseConfirmed, {{"task", ToString(it.task)},
@@ -388,6 +397,7 @@
   LogSettledStarts();
   LogHeldRuns();
   LogLapses();
+  LogDraining();
   Renew();
   SendWorkerCalls();
   LogMissedTargets();
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -54,6 +54,7 @@
   void LogSettledStarts();
   void LogHeldRuns();
   void LogLapses();
+  void LogDraining();
   void LogMissedTargets();
   void SendWorkerCalls();
   void AnswerPendingSyncs();
@@ -88,6 +89,8 @@
   /// How often the agent began to keep fillers paused by itself.
   uint64_t filler_holds_ = 0;
   Registration registration_;
+  /// As last logged; see WhyNotDrained.
+  const char* not_drained_reason_ = nullptr;
 };
 
 }  // namespace almondtally::sched
--- a/source/agent/registration.cc
+++ b/source/agent/registration.cc
@@ -26,10 +26,7 @@
 /// @return true if nothing of the VM can be missing in the store, and its
 /// worker is to get no more tasks.
 bool IsDrained(const RunTable& table) {
-  return table.worker.draining && table.complete_version != 0 &&
-         table.runs.empty() && table.ends.empty() &&
-         table.late_starts.empty() && !table.earlier_starts_arrive_by &&
-         AreLeasesKnown(table) && !table.has_former_lease;
+  return table.worker.draining && WhyNotDrained(table) == nullptr;
 }
 
 /// @return true if the row must be written for what it says.
@@ -49,6 +46,17 @@
 
 }  // namespace
 
+const char* WhyNotDrained(const RunTable& table) {
+  if (table.complete_version == 0) return "runs not listed yet";
+  if (!table.runs.empty()) return "has runs";
+  if (!table.ends.empty()) return "ends not recorded";
+  if (!table.late_starts.empty()) return "starts unanswered";
+  if (table.earlier_starts_arrive_by) return "starts of an earlier agent";
+  if (!AreLeasesKnown(table)) return "leases not known";
+  if (table.has_former_lease) return "longer lease";
+  return nullptr;
+}
+
 void BeginRegistration(RunTable& table, MonotonicTime now) {
   table.awaits_registration = true;
   detail::AssumeFormerAgent(table, now);
--- a/source/agent/registration.h
+++ b/source/agent/registration.h
@@ -43,6 +43,10 @@
   MonotonicTime next_check_at{};
 };
 
+/// @return why something of the VM may be missing in the store, so that its row
+/// cannot say that it is drained; null if nothing can.
+const char* WhyNotDrained(const RunTable& table);
+
 /// Prepares the registration of an agent that starts.
 void BeginRegistration(RunTable& table, MonotonicTime now);
 
--- a/source/base/log.cc
+++ b/source/base/log.cc
@@ -405,6 +405,9 @@
        "are ended; with the time since the end of the leases that this "
        "process sent, and of those that the worker took for its former "
        "process (-1: none), and the age of this process"},
+      {Event::kNotYetDrained, "vm.not_yet_drained", kMembership, kInfo,
+       "the worker is draining, and the VM cannot be called drained in its row "
+       "yet, with the reason; once per change of the reason"},
       {Event::kSettingsReloaded, "settings.reloaded", kProcess, kInfo,
        "the settings were reloaded, with what changed"},
   };
--- a/source/base/log.h
+++ b/source/base/log.h
@@ -134,6 +134,7 @@
   kFormerLeaseRecorded = 9314,
   kRunHeld = 9315,
   kRunsLapsed = 9316,
+  kNotYetDrained = 9317,
   kSettingsReloaded = 9401,
 };
 
