Play restarts of agents whose workers fall silent soon after

The new play draws just that: agents restart often, the link to the worker fails 0 to 1.5 s later for 0.3 to 6 s, the agent's store is away or late and the planners restart or are cut off beside it. The plans of the other plays stay the same.

--- a/tests/planner/partition_test.cc
+++ b/tests/planner/partition_test.cc
@@ -24,8 +24,10 @@
 //
 // plays other seeds, and with -tc="*outlasts*" those of the second kind of
 // play, in which calls are carried out late and by processes for which they
-// were not meant. ALMONDTALLY_PARTITION_MINIMISE=1 also prints, for each seed
-// that breaks a rule, the impairments and jobs without which it would not.
+// were not meant, and with -tc="*fall silent*" those of the third kind, in
+// which agents restart and lose their workers soon after.
+// ALMONDTALLY_PARTITION_MINIMISE=1 also prints, for each seed that breaks a
+// rule, the impairments and jobs without which it would not.
 
 namespace almondtally::sched {
 namespace {
@@ -34,6 +36,7 @@
 /// Seeds of CI that break a rule, by faults that are listed in KNOWN-RED.txt.
 constexpr uint64_t kBrokenSeedsOfLateCalls[] = {23, 28};
 constexpr unsigned kSeedsOfLateCalls = 100;
+constexpr unsigned kSeedsOfRestartedAgents = 40;
 constexpr Duration kStep{50};
 constexpr Duration kFirstFault{2'000};
 constexpr Duration kFaultsEnd{30'000};
@@ -246,18 +249,22 @@
                             : RenewalOnItsWay::kLost;
 }
 
+WorkerLink DrawWorkerLink(Random& random) {
+  constexpr WorkerLink kLinks[] = {WorkerLink::kUnreachable, WorkerLink::kLost,
+                                   WorkerLink::kCarriedOutLate};
+  return kLinks[DrawIndex(random, std::size(kLinks))];
+}
+
 /// Cuts agents off from the entries and the store, or their workers off from
 /// them, or both.
 Fault DrawVmCut(Random& random, const Plan& plan,
                 const std::vector<size_t>& vms) {
-  constexpr WorkerLink kLinks[] = {WorkerLink::kUnreachable, WorkerLink::kLost,
-                                   WorkerLink::kCarriedOutLate};
   Fault out;
   const int64_t kind = Draw(random, 1, 10);
   const bool cuts_agent = kind <= 8;
   const bool cuts_store = kind <= 5;
   const bool cuts_worker = kind <= 3 || kind >= 7;
-  const WorkerLink link = kLinks[DrawIndex(random, std::size(kLinks))];
+  const WorkerLink link = DrawWorkerLink(random);
   out.calls_late_by = DrawTime(random, 100, 6'000);
   for (const size_t vm : vms) {
     const Address agent = SimulatedFleet::AgentAddress(vm);
@@ -327,6 +334,50 @@
   SortFaults(plan);
 }
 
+/// Adds the restart of an agent whose worker falls silent soon after, beside an
+/// impaired store and a change of the planner.
+void AddAgentRestart(Random& random, Plan& plan, Duration at) {
+  const size_t vm = DrawIndex(random, plan.vms);
+  Fault restart;
+  restart.target = vm;
+  restart.renewal = DrawRenewal(random);
+  restart.once = Fault::Once::kRestartAgent;
+  AddFault(plan, restart, at, kStep);
+  if (Chance(random, 85)) {
+    Fault silence;
+    silence.worker_links[vm] = DrawWorkerLink(random);
+    silence.calls_late_by = DrawTime(random, 100, 6'000);
+    AddFault(plan, silence, at + DrawTime(random, 0, 1'500),
+             DrawTime(random, 300, 6'000));
+  }
+  if (Chance(random, 60)) {
+    Fault store;
+    store.stores[SimulatedFleet::AgentAddress(vm)] = DrawStoreLink(random);
+    store.late_by = DrawTime(random, 200, 6'000);
+    AddFault(plan, store, at - DrawTime(random, 0, 1'000),
+             DrawTime(random, 1'000, 6'000));
+  }
+  if (Chance(random, 40)) {
+    Fault takeover;
+    takeover.cuts_planners_off = Chance(random, 50);
+    if (!takeover.cuts_planners_off)
+      takeover.once = Fault::Once::kRestartPlanners;
+    AddFault(plan, takeover, at + DrawTime(random, -2'000, 3'000),
+             DrawTime(random, 500, 6'000));
+  }
+}
+
+void DrawAgentRestarts(Random& random, Plan& plan) {
+  for (size_t i = 0; i < kEpisodeTracks; ++i) {
+    Duration at = kFirstFault + DrawTime(random, 0, 2'000);
+    while (at < kFaultsEnd) {
+      AddAgentRestart(random, plan, at);
+      at += DrawTime(random, 500, 6'000);
+    }
+  }
+  SortFaults(plan);
+}
+
 StepSpec DrawStep(Random& random) {
   StepSpec out;
   out.count = static_cast<uint32_t>(Draw(random, 1, 4));
@@ -431,6 +482,26 @@
   return out;
 }
 
+/// A play in which agents restart often and workers fall silent soon after.
+/// @param unix_ms Unix time at the start of the simulation.
+Plan MakePlanOfRestartedAgents(uint64_t seed, int64_t unix_ms) {
+  Random random(seed);
+  Plan out;
+  out.seed = seed;
+  out.entries = Draw(random, 3, 4);
+  out.vms = Draw(random, 3, 5);
+  out.warm_up = DrawTime(random, 0, 20'000);
+  out.settling = 2 * kSettling;
+  out.longest_run = Duration(10'000);
+  for (size_t i = 0; i < kJobsOfLateCalls; ++i) {
+    out.jobs.push_back(DrawJob(random, out, i, unix_ms + out.warm_up.count(),
+                               2 * kLastingPercent));
+  }
+  DrawAgentRestarts(random, out);
+  AddDrains(out);
+  return out;
+}
+
 /// The same for every run of that number, whatever else happens.
 std::pair<RunEnd, std::optional<Duration>> DrawFate(const Plan& plan,
                                                     const TaskKey& task,
@@ -853,5 +924,9 @@
       {std::begin(kBrokenSeedsOfLateCalls), std::end(kBrokenSeedsOfLateCalls)});
 }
 
+TEST_CASE("runs go on when agents restart and workers then fall silent") {
+  PlaySeeds(MakePlanOfRestartedAgents, kSeedsOfRestartedAgents, {});
+}
+
 }  // namespace
 }  // namespace almondtally::sched
