Play workers whose clocks are 2% slow

A worker's steady clock may be 2% slow; in the simulation all clocks agreed. Slow clocks are drawn per VM in the play of restarted agents, and in the other plays if ALMONDTALLY_PARTITION_OPTIONS="slow-clocks" asks for it. Plans stay the same otherwise.

--- a/tests/planner/partition_test.cc
+++ b/tests/planner/partition_test.cc
@@ -26,6 +26,8 @@
 // play, in which calls are carried out late and by processes for which they
 // were not meant, and with -tc="*fall silent*" those of the third kind, in
 // which agents restart and lose their workers soon after.
+// ALMONDTALLY_PARTITION_OPTIONS="slow-clocks" also makes the clocks of some
+// workers slow in plays of the other kinds.
 // ALMONDTALLY_PARTITION_MINIMISE=1 also prints, for each seed that breaks a
 // rule, the impairments and jobs without which it would not.
 
@@ -53,6 +55,7 @@
 constexpr size_t kTries = 5;
 constexpr uint32_t kAttempts = 3;
 constexpr int kLastingPercent = 20;
+constexpr int kSlowClockPercent = 98;
 constexpr size_t kFaultTracks = 3;
 constexpr size_t kEpisodeTracks = 2;
 /// Steps that allow copies declare this run time; some runs take this many
@@ -104,6 +107,8 @@
   size_t entries = 0;
   size_t vms = 0;
   PlanningFeatures features;
+  /// VMs whose workers' clocks are slow.
+  std::set<size_t> slow_clocks;
   /// Age of the workers at the start of the play.
   Duration warm_up{};
   /// Time after the last impairment until all jobs must have ended.
@@ -437,6 +442,26 @@
   SortFaults(plan);
 }
 
+/// Makes the clocks of some workers slow, drawn apart like drains.
+void AddSlowClocks(Plan& plan) {
+  Random random(plan.seed + 4);
+  for (size_t vm = 0; vm < plan.vms; ++vm) {
+    if (Chance(random, 50)) plan.slow_clocks.insert(vm);
+  }
+}
+
+/// @return true if ALMONDTALLY_PARTITION_OPTIONS contains `name`.
+bool HasOption(const std::string& name) {
+  const char* const options = std::getenv("ALMONDTALLY_PARTITION_OPTIONS");
+  return options != nullptr &&
+         std::string(options).find(name) != std::string::npos;
+}
+
+/// Adds what is drawn only if it is asked for.
+void AddOptions(Plan& plan) {
+  if (HasOption("slow-clocks")) AddSlowClocks(plan);
+}
+
 /// @param unix_ms Unix time at the start of the simulation.
 Plan MakePlan(uint64_t seed, int64_t unix_ms) {
   Random random(seed);
@@ -499,6 +524,7 @@
   }
   DrawAgentRestarts(random, out);
   AddDrains(out);
+  AddSlowClocks(out);
   return out;
 }
 
@@ -531,6 +557,8 @@
       : plan_(plan),
         fleet_(plan.entries, plan.vms, plan.features),
         random_(plan.seed + 1) {
+    for (const size_t vm : plan.slow_clocks)
+      fleet_.SetClockRate(vm, kSlowClockPercent);
     fleet_.Advance(plan.warm_up);
     start_ = fleet_.now();
     day_.unix_offset_ms =
@@ -804,6 +832,10 @@
 Plan Minimise(Plan plan, const std::string& rule) {
   LeaveOut(plan, plan.faults, rule);
   LeaveOut(plan, plan.jobs, rule);
+  for (const size_t vm : std::set(plan.slow_clocks)) {
+    plan.slow_clocks.erase(vm);
+    if (!Breaks(plan, rule)) plan.slow_clocks.insert(vm);
+  }
   for (Fault& fault : plan.faults) LeaveOut(plan, fault.cuts, rule);
   return plan;
 }
@@ -850,6 +882,8 @@
   std::string out = std::to_string(plan.entries) + " entries, " +
                     std::to_string(plan.vms) + " VMs, workers " +
                     std::to_string(plan.warm_up.count()) + " ms old\n";
+  for (const size_t vm : plan.slow_clocks)
+    out += "clock of worker " + std::to_string(vm) + " slow\n";
   for (const Fault& fault : plan.faults) out += Describe(fault);
   for (const PlannedJob& job : plan.jobs) {
     out += job.spec.id.value + " at " + std::to_string(job.submit_at.count());
@@ -892,7 +926,8 @@
   uint64_t broken = 0;
   size_t copies = 0;
   for (uint64_t seed = first; seed < first + count; ++seed) {
-    const Plan plan = make_plan(seed, unix_ms);
+    Plan plan = make_plan(seed, unix_ms);
+    AddOptions(plan);
     Play play(plan);
     const auto breaches = play.Run();
     copies += play.CountCopies();
--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -581,20 +581,27 @@
   const CallResult result = CarryOut(vm, call);
   if (result.outcome != CallOutcome::kOk)
     return HandleRenewalFailure(agent.table, now, call, result);
-  ApplyWorkerListing(agent.table, now, call, List(worker, call.recorded));
+  ApplyWorkerListing(agent.table, now, call, List(vm, call.recorded));
 }
 
 // Workers.
 
-MonotonicTime SimulatedFleet::LeaseEnd(const Worker& worker,
+MonotonicTime SimulatedFleet::LeaseEnd(size_t vm,
                                        int64_t lease_until_ms) const {
-  return std::min(worker.born_at + Duration(lease_until_ms), now_ + kMaxHold);
+  // A slow clock takes longer for the same time; rounded up.
+  const int rate = vms_[vm].clock_rate_percent;
+  const auto true_time = [rate](Duration time) {
+    return (time * 100 + Duration(rate - 1)) / rate;
+  };
+  return std::min(vms_[vm].worker.born_at + true_time(Duration(lease_until_ms)),
+                  now_ + true_time(kMaxHold));
 }
 
-WorkerListing SimulatedFleet::List(const Worker& worker,
-                                   uint64_t acknowledged) const {
+WorkerListing SimulatedFleet::List(size_t vm, uint64_t acknowledged) const {
+  const Worker& worker = vms_[vm].worker;
   WorkerListing out;
-  out.clock_ms = (now_ - worker.born_at).count();
+  out.clock_ms =
+      (now_ - worker.born_at).count() * vms_[vm].clock_rate_percent / 100;
   out.born_ms = worker.born_at.time_since_epoch().count() + 1;
   for (const auto& [task, index] : worker.running) {
     const SimulatedRun& run = runs_[index];
@@ -637,8 +644,8 @@
     return {CallOutcome::kFenced, "fence"};
   worker.fencing = call.call.fencing;
   if (call.call.lease_until_ms > 0) {
-    worker.lease_until = std::max(worker.lease_until,
-                                  LeaseEnd(worker, call.call.lease_until_ms));
+    worker.lease_until =
+        std::max(worker.lease_until, LeaseEnd(vm, call.call.lease_until_ms));
   }
   Acknowledge(worker, call.recorded);
   return {};
@@ -661,7 +668,7 @@
   Worker& worker = vms_[vm].worker;
   if (call.call.fencing < worker.fencing) return {CallOutcome::kFenced, ""};
   worker.fencing = call.call.fencing;
-  const MonotonicTime lease_until = LeaseEnd(worker, call.call.lease_until_ms);
+  const MonotonicTime lease_until = LeaseEnd(vm, call.call.lease_until_ms);
   worker.lease_until = std::max(worker.lease_until, lease_until);
   if (lease_until <= now_) return {CallOutcome::kRejected, "late"};
   const auto running = worker.running.find(call.start.task);
--- a/tests/planner/simulated_fleet.h
+++ b/tests/planner/simulated_fleet.h
@@ -112,6 +112,11 @@
   /// Ends the process of an agent and starts another one; the worker goes on.
   void RestartAgent(size_t vm,
                     RenewalOnItsWay renewal = RenewalOnItsWay::kCarriedOut);
+  /// Sets how fast the steady clock of a VM's worker advances, in percent of
+  /// the true rate; to be set while its process is new.
+  void SetClockRate(size_t vm, int percent) {
+    vms_[vm].clock_rate_percent = percent;
+  }
   /// Ends a worker's process with all its runs and starts another one under
   /// the same id.
   void RestartWorker(size_t vm,
@@ -215,6 +220,7 @@
     std::unique_ptr<Agent> agent;
     Worker worker;
     WorkerLink link = WorkerLink::kUp;
+    int clock_rate_percent = 100;
     /// The agent has received the announcement of the worker's process.
     bool announced = false;
     std::vector<LateCall> late_calls;
@@ -259,8 +265,8 @@
   CallResult CarryOut(size_t vm, const RenewCall& call);
   void EndRun(Worker& worker, size_t index, RunEnd end);
   void Acknowledge(Worker& worker, uint64_t number);
-  WorkerListing List(const Worker& worker, uint64_t acknowledged) const;
-  MonotonicTime LeaseEnd(const Worker& worker, int64_t lease_until_ms) const;
+  WorkerListing List(size_t vm, uint64_t acknowledged) const;
+  MonotonicTime LeaseEnd(size_t vm, int64_t lease_until_ms) const;
   const StepSpec* FindSpec(const TaskKey& task) const;
   void JoinGang(size_t index);
   void LeaveGang(size_t index);
