Let messages to agents wait out a cut in the simulation

On a TCP connection a planner's message to an agent arrives when a cut heals; the simulation lost it. Such messages now wait for up to 12 s, unless the agent's process has ended, in half of the plays of restarted agents, and in the other plays if ALMONDTALLY_PARTITION_OPTIONS="held-messages" asks for it.

--- a/tests/planner/partition_test.cc
+++ b/tests/planner/partition_test.cc
@@ -26,10 +26,11 @@
 // play, in which calls are carried out late and by processes for which they
 // were not meant, and with -tc="*fall silent*" those of the third kind, in
 // which agents restart and lose their workers soon after.
-// ALMONDTALLY_PARTITION_OPTIONS="slow-clocks" also makes the clocks of some
-// workers slow in plays of the other kinds.
-// ALMONDTALLY_PARTITION_MINIMISE=1 also prints, for each seed that breaks a
-// rule, the impairments and jobs without which it would not.
+// ALMONDTALLY_PARTITION_OPTIONS="slow-clocks,held-messages" also makes the
+// clocks of some workers slow and messages to agents outlast cuts, each also
+// alone, in plays of the other kinds. ALMONDTALLY_PARTITION_MINIMISE=1 also
+// prints, for each seed that breaks a rule, the impairments and jobs without
+// which it would not.
 
 namespace almondtally::sched {
 namespace {
@@ -56,6 +57,7 @@
 constexpr uint32_t kAttempts = 3;
 constexpr int kLastingPercent = 20;
 constexpr int kSlowClockPercent = 98;
+constexpr Duration kMaxMessageAge{12'000};
 constexpr size_t kFaultTracks = 3;
 constexpr size_t kEpisodeTracks = 2;
 /// Steps that allow copies declare this run time; some runs take this many
@@ -109,6 +111,8 @@
   PlanningFeatures features;
   /// VMs whose workers' clocks are slow.
   std::set<size_t> slow_clocks;
+  /// Messages to agents wait for cuts to heal for so long.
+  Duration message_hold_time{};
   /// Age of the workers at the start of the play.
   Duration warm_up{};
   /// Time after the last impairment until all jobs must have ended.
@@ -450,6 +454,12 @@
   }
 }
 
+/// Makes messages to agents outlast cuts in half of the plays, drawn apart.
+void AddHeldMessages(Plan& plan) {
+  Random random(plan.seed + 5);
+  if (Chance(random, 50)) plan.message_hold_time = kMaxMessageAge;
+}
+
 /// @return true if ALMONDTALLY_PARTITION_OPTIONS contains `name`.
 bool HasOption(const std::string& name) {
   const char* const options = std::getenv("ALMONDTALLY_PARTITION_OPTIONS");
@@ -460,6 +470,7 @@
 /// Adds what is drawn only if it is asked for.
 void AddOptions(Plan& plan) {
   if (HasOption("slow-clocks")) AddSlowClocks(plan);
+  if (HasOption("held-messages")) plan.message_hold_time = kMaxMessageAge;
 }
 
 /// @param unix_ms Unix time at the start of the simulation.
@@ -525,6 +536,7 @@
   DrawAgentRestarts(random, out);
   AddDrains(out);
   AddSlowClocks(out);
+  AddHeldMessages(out);
   return out;
 }
 
@@ -559,6 +571,7 @@
         random_(plan.seed + 1) {
     for (const size_t vm : plan.slow_clocks)
       fleet_.SetClockRate(vm, kSlowClockPercent);
+    fleet_.SetMessageHoldTime(plan.message_hold_time);
     fleet_.Advance(plan.warm_up);
     start_ = fleet_.now();
     day_.unix_offset_ms =
@@ -882,6 +895,8 @@
   std::string out = std::to_string(plan.entries) + " entries, " +
                     std::to_string(plan.vms) + " VMs, workers " +
                     std::to_string(plan.warm_up.count()) + " ms old\n";
+  if (plan.message_hold_time > Duration(0))
+    out += "messages to agents outlast cuts\n";
   for (const size_t vm : plan.slow_clocks)
     out += "clock of worker " + std::to_string(vm) + " slow\n";
   for (const Fault& fault : plan.faults) out += Describe(fault);
--- a/tests/planner/simulated_fleet.cc
+++ b/tests/planner/simulated_fleet.cc
@@ -132,6 +132,7 @@
 void SimulatedFleet::Advance(Duration by) {
   for (const MonotonicTime end = now_ + by; now_ < end;) {
     now_ += kStep;
+    DeliverHeldMessages();
     std::erase_if(late_commits_, [&](const LateCommit& it) {
       if (now_ < it.due_at) return false;
       memory_.Apply(it.rows);
@@ -340,12 +341,41 @@
     });
   };
   finish(timeout, std::nullopt, {WireError::kTimeout, "no answer"});
-  if (IsCut(from, to)) return;
-  Deliver(to, path, bytes,
-          [this, from, to, finish](const std::optional<std::string>& answer,
-                                   const WireReason& why) {
-            if (!IsCut(to, from)) finish(kLinkDelay, answer, why);
-          });
+  const auto deliver = [this, from, to, path, bytes, finish] {
+    Deliver(to, path, bytes,
+            [this, from, to, finish](const std::optional<std::string>& answer,
+                                     const WireReason& why) {
+              if (!IsCut(to, from)) finish(kLinkDelay, answer, why);
+            });
+  };
+  if (IsCut(from, to)) return HoldMessage(from, to, deliver);
+  deliver();
+}
+
+SimulatedFleet::Agent* SimulatedFleet::FindAgent(const Address& address) {
+  for (size_t i = 0; i < vms_.size(); ++i) {
+    if (AgentAddress(i) == address) return vms_[i].agent.get();
+  }
+  return nullptr;
+}
+
+void SimulatedFleet::HoldMessage(const Address& from, const Address& to,
+                                 std::function<void()> deliver) {
+  const Agent* const agent = FindAgent(to);
+  if (agent == nullptr || message_hold_time_ == Duration(0)) return;
+  held_messages_.push_back({from, to, now_ + message_hold_time_,
+                            agent->table.life, std::move(deliver)});
+}
+
+void SimulatedFleet::DeliverHeldMessages() {
+  std::erase_if(held_messages_, [&](const HeldMessage& it) {
+    const bool lost =
+        now_ >= it.expires_at || FindAgent(it.to)->table.life != it.life;
+    if (lost) return true;
+    if (IsCut(it.from, it.to)) return false;
+    it.deliver();
+    return true;
+  });
 }
 
 void SimulatedFleet::Deliver(const Address& to, const std::string& path,
--- a/tests/planner/simulated_fleet.h
+++ b/tests/planner/simulated_fleet.h
@@ -80,6 +80,9 @@
   void Cut(const Address& from, const Address& to) { cut_.insert({from, to}); }
   void CutBothWays(const Address& a, const Address& b);
   void HealLinks() { cut_.clear(); }
+  /// Messages to agents wait for a cut to heal for so long, as on a connection
+  /// that sends again, instead of being lost at once.
+  void SetMessageHoldTime(Duration time) { message_hold_time_ = time; }
   void SetStoreLink(const Address& process, StoreLink link) {
     store_links_[process] = link;
   }
@@ -209,6 +212,16 @@
     StoreTransaction rows;
   };
 
+  /// A message to an agent that waits for a cut to heal.
+  struct HeldMessage {
+    Address from;
+    Address to;
+    MonotonicTime expires_at{};
+    /// Process of the agent that has the connection.
+    AgentIncarnation life;
+    std::function<void()> deliver;
+  };
+
   using AnyWorkerCall = std::variant<StartCall, StopCall, RenewCall>;
 
   struct LateCall {
@@ -236,6 +249,12 @@
             const PeerLinks::BytesCallback& fn);
   void Deliver(const Address& to, const std::string& path,
                const std::string& bytes, const PeerLinks::BytesCallback& reply);
+  /// Keeps a message to an agent that is cut off.
+  void HoldMessage(const Address& from, const Address& to,
+                   std::function<void()> deliver);
+  void DeliverHeldMessages();
+  /// @return the agent with this address; null if there is none.
+  Agent* FindAgent(const Address& address);
   Entry* FindEntry(size_t entry, uint64_t process);
 
   void StartAgent(size_t vm);
@@ -280,6 +299,8 @@
   Store store_;
   Metrics metrics_;
   std::set<std::pair<Address, Address>> cut_;
+  Duration message_hold_time_{};
+  std::vector<HeldMessage> held_messages_;
   std::map<Address, StoreLink> store_links_;
   std::vector<std::unique_ptr<Entry>> entries_;
   /// Processes that have ended; their timers refer to them.
