--- a/tests/planner/partition_test.cc
+++ b/tests/planner/partition_test.cc
@@ -24,8 +24,13 @@
 //
 // plays other seeds, and with -tc="*outlasts*" those of the second kind of
 // play, in which calls are carried out late and by processes for which they
-// were not meant. ALMONDTALLY_PARTITION_MINIMISE=1 also prints, for each seed
-// that breaks a rule, the impairments and jobs without which it would not.
+// were not meant, and with -tc="*fall silent*" those of the third kind, in
+// which agents restart and lose their workers soon after.
+// ALMONDTALLY_PARTITION_OPTIONS="slow-clocks,held-messages" also makes the
+// clocks of some workers slow and messages to agents outlast cuts, each also
+// alone, in plays of the other kinds. ALMONDTALLY_PARTITION_MINIMISE=1 also
+// prints, for each seed that breaks a rule, the impairments and jobs without
+// which it would not.
 
 namespace almondtally::sched {
 namespace {
@@ -34,6 +39,7 @@
 /// Seeds of CI that break a rule, by faults that are listed in KNOWN-RED.txt.
 constexpr uint64_t kBrokenSeedsOfLateCalls[] = {23, 28};
 constexpr unsigned kSeedsOfLateCalls = 100;
+constexpr unsigned kSeedsOfRestartedAgents = 40;
 constexpr Duration kStep{50};
 constexpr Duration kFirstFault{2'000};
 constexpr Duration kFaultsEnd{30'000};
@@ -50,6 +56,8 @@
 constexpr size_t kTries = 5;
 constexpr uint32_t kAttempts = 3;
 constexpr int kLastingPercent = 20;
+constexpr int kSlowClockPercent = 98;
+constexpr Duration kMaxMessageAge{12'000};
 constexpr size_t kFaultTracks = 3;
 constexpr size_t kEpisodeTracks = 2;
 /// Steps that allow copies declare this run time; some runs take this many
@@ -101,6 +109,10 @@
   size_t entries = 0;
   size_t vms = 0;
   PlanningFeatures features;
+  /// VMs whose workers' clocks are slow.
+  std::set<size_t> slow_clocks;
+  /// Messages to agents wait for cuts to heal for so long.
+  Duration message_hold_time{};
   /// Age of the workers at the start of the play.
   Duration warm_up{};
   /// Time after the last impairment until all jobs must have ended.
@@ -246,18 +258,22 @@
                             : RenewalOnItsWay::kLost;
 }
 
+WorkerLink DrawWorkerLink(Random& random) {
+  constexpr WorkerLink kLinks[] = {WorkerLink::kUnreachable, WorkerLink::kLost,
+                                   WorkerLink::kCarriedOutLate};
+  return kLinks[DrawIndex(random, std::size(kLinks))];
+}
+
 /// Cuts agents off from the entries and the store, or their workers off from
 /// them, or both.
 Fault DrawVmCut(Random& random, const Plan& plan,
                 const std::vector<size_t>& vms) {
-  constexpr WorkerLink kLinks[] = {WorkerLink::kUnreachable, WorkerLink::kLost,
-                                   WorkerLink::kCarriedOutLate};
   Fault out;
   const int64_t kind = Draw(random, 1, 10);
   const bool cuts_agent = kind <= 8;
   const bool cuts_store = kind <= 5;
   const bool cuts_worker = kind <= 3 || kind >= 7;
-  const WorkerLink link = kLinks[DrawIndex(random, std::size(kLinks))];
+  const WorkerLink link = DrawWorkerLink(random);
   out.calls_late_by = DrawTime(random, 100, 6'000);
   for (const size_t vm : vms) {
     const Address agent = SimulatedFleet::AgentAddress(vm);
@@ -327,6 +343,50 @@
   SortFaults(plan);
 }
 
+/// Adds the restart of an agent whose worker falls silent soon after, beside an
+/// impaired store and a change of the planner.
+void AddAgentRestart(Random& random, Plan& plan, Duration at) {
+  const size_t vm = DrawIndex(random, plan.vms);
+  Fault restart;
+  restart.target = vm;
+  restart.renewal = DrawRenewal(random);
+  restart.once = Fault::Once::kRestartAgent;
+  AddFault(plan, restart, at, kStep);
+  if (Chance(random, 85)) {
+    Fault silence;
+    silence.worker_links[vm] = DrawWorkerLink(random);
+    silence.calls_late_by = DrawTime(random, 100, 6'000);
+    AddFault(plan, silence, at + DrawTime(random, 0, 1'500),
+             DrawTime(random, 300, 6'000));
+  }
+  if (Chance(random, 60)) {
+    Fault store;
+    store.stores[SimulatedFleet::AgentAddress(vm)] = DrawStoreLink(random);
+    store.late_by = DrawTime(random, 200, 6'000);
+    AddFault(plan, store, at - DrawTime(random, 0, 1'000),
+             DrawTime(random, 1'000, 6'000));
+  }
+  if (Chance(random, 40)) {
+    Fault takeover;
+    takeover.cuts_planners_off = Chance(random, 50);
+    if (!takeover.cuts_planners_off)
+      takeover.once = Fault::Once::kRestartPlanners;
+    AddFault(plan, takeover, at + DrawTime(random, -2'000, 3'000),
+             DrawTime(random, 500, 6'000));
+  }
+}
+
+void DrawAgentRestarts(Random& random, Plan& plan) {
+  for (size_t i = 0; i < kEpisodeTracks; ++i) {
+    Duration at = kFirstFault + DrawTime(random, 0, 2'000);
+    while (at < kFaultsEnd) {
+      AddAgentRestart(random, plan, at);
+      at += DrawTime(random, 500, 6'000);
+    }
+  }
+  SortFaults(plan);
+}
+
 StepSpec DrawStep(Random& random) {
   StepSpec out;
   out.count = static_cast<uint32_t>(Draw(random, 1, 4));
@@ -386,6 +446,33 @@
   SortFaults(plan);
 }
 
+/// Makes the clocks of some workers slow, drawn apart like drains.
+void AddSlowClocks(Plan& plan) {
+  Random random(plan.seed + 4);
+  for (size_t vm = 0; vm < plan.vms; ++vm) {
+    if (Chance(random, 50)) plan.slow_clocks.insert(vm);
+  }
+}
+
+/// Makes messages to agents outlast cuts in half of the plays, drawn apart.
+void AddHeldMessages(Plan& plan) {
+  Random random(plan.seed + 5);
+  if (Chance(random, 50)) plan.message_hold_time = kMaxMessageAge;
+}
+
+/// @return true if ALMONDTALLY_PARTITION_OPTIONS contains `name`.
+bool HasOption(const std::string& name) {
+  const char* const options = std::getenv("ALMONDTALLY_PARTITION_OPTIONS");
+  return options != nullptr &&
+         std::string(options).find(name) != std::string::npos;
+}
+
+/// Adds what is drawn only if it is asked for.
+void AddOptions(Plan& plan) {
+  if (HasOption("slow-clocks")) AddSlowClocks(plan);
+  if (HasOption("held-messages")) plan.message_hold_time = kMaxMessageAge;
+}
+
 /// @param unix_ms Unix time at the start of the simulation.
 Plan MakePlan(uint64_t seed, int64_t unix_ms) {
   Random random(seed);
@@ -431,6 +518,28 @@
   return out;
 }
 
+/// A play in which agents restart often and workers fall silent soon after.
+/// @param unix_ms Unix time at the start of the simulation.
+Plan MakePlanOfRestartedAgents(uint64_t seed, int64_t unix_ms) {
+  Random random(seed);
+  Plan out;
+  out.seed = seed;
+  out.entries = Draw(random, 3, 4);
+  out.vms = Draw(random, 3, 5);
+  out.warm_up = DrawTime(random, 0, 20'000);
+  out.settling = 2 * kSettling;
+  out.longest_run = Duration(10'000);
+  for (size_t i = 0; i < kJobsOfLateCalls; ++i) {
+    out.jobs.push_back(DrawJob(random, out, i, unix_ms + out.warm_up.count(),
+                               2 * kLastingPercent));
+  }
+  DrawAgentRestarts(random, out);
+  AddDrains(out);
+  AddSlowClocks(out);
+  AddHeldMessages(out);
+  return out;
+}
+
 /// The same for every run of that number, whatever else happens.
 std::pair<RunEnd, std::optional<Duration>> DrawFate(const Plan& plan,
                                                     const TaskKey& task,
@@ -460,6 +569,9 @@
       : plan_(plan),
         fleet_(plan.entries, plan.vms, plan.features),
         random_(plan.seed + 1) {
+    for (const size_t vm : plan.slow_clocks)
+      fleet_.SetClockRate(vm, kSlowClockPercent);
+    fleet_.SetMessageHoldTime(plan.message_hold_time);
     fleet_.Advance(plan.warm_up);
     start_ = fleet_.now();
     day_.unix_offset_ms =
@@ -733,6 +845,10 @@
 Plan Minimise(Plan plan, const std::string& rule) {
   LeaveOut(plan, plan.faults, rule);
   LeaveOut(plan, plan.jobs, rule);
+  for (const size_t vm : std::set(plan.slow_clocks)) {
+    plan.slow_clocks.erase(vm);
+    if (!Breaks(plan, rule)) plan.slow_clocks.insert(vm);
+  }
   for (Fault& fault : plan.faults) LeaveOut(plan, fault.cuts, rule);
   return plan;
 }
@@ -779,6 +895,10 @@
   std::string out = std::to_string(plan.entries) + " entries, " +
                     std::to_string(plan.vms) + " VMs, workers " +
                     std::to_string(plan.warm_up.count()) + " ms old\n";
+  if (plan.message_hold_time > Duration(0))
+    out += "messages to agents outlast cuts\n";
+  for (const size_t vm : plan.slow_clocks)
+    out += "clock of worker " + std::to_string(vm) + " slow\n";
   for (const Fault& fault : plan.faults) out += Describe(fault);
   for (const PlannedJob& job : plan.jobs) {
     out += job.spec.id.value + " at " + std::to_string(job.submit_at.count());
@@ -821,7 +941,8 @@
   uint64_t broken = 0;
   size_t copies = 0;
   for (uint64_t seed = first; seed < first + count; ++seed) {
-    const Plan plan = make_plan(seed, unix_ms);
+    Plan plan = make_plan(seed, unix_ms);
+    AddOptions(plan);
     Play play(plan);
     const auto breaches = play.Run();
     copies += play.CountCopies();
@@ -853,5 +974,9 @@
       {std::begin(kBrokenSeedsOfLateCalls), std::end(kBrokenSeedsOfLateCalls)});
 }
 
+TEST_CASE("runs go on when agents restart and workers then fall silent") {
+  PlaySeeds(MakePlanOfRestartedAgents, kSeedsOfRestartedAgents, {});
+}
+
 }  // namespace
 }  // namespace almondtally::sched
--- a/tests/planner/simulated_fleet.h
+++ b/tests/planner/simulated_fleet.h
@@ -80,6 +80,9 @@
   void Cut(const Address& from, const Address& to) { cut_.insert({from, to}); }
   void CutBothWays(const Address& a, const Address& b);
   void HealLinks() { cut_.clear(); }
+  /// Messages to agents wait for a cut to heal for so long, as on a connection
+  /// that sends again, instead of being lost at once.
+  void SetMessageHoldTime(Duration time) { message_hold_time_ = time; }
   void SetStoreLink(const Address& process, StoreLink link) {
     store_links_[process] = link;
   }
@@ -112,6 +115,11 @@
   /// Ends the process of an agent and starts another one; the worker goes on.
   void RestartAgent(size_t vm,
                     RenewalOnItsWay renewal = RenewalOnItsWay::kCarriedOut);
+  /// Sets how fast the steady clock of a VM's worker advances, in percent of
+  /// the true rate; to be set while its process is new.
+  void SetClockRate(size_t vm, int percent) {
+    vms_[vm].clock_rate_percent = percent;
+  }
   /// Ends a worker's process with all its runs and starts another one under
   /// the same id.
   void RestartWorker(size_t vm,
@@ -204,6 +212,16 @@
     StoreTransaction rows;
   };
 
+  /// A message to an agent that waits for a cut to heal.
+  struct HeldMessage {
+    Address from;
+    Address to;
+    MonotonicTime expires_at{};
+    /// Process of the agent that has the connection.
+    AgentIncarnation life;
+    std::function<void()> deliver;
+  };
+
   using AnyWorkerCall = std::variant<StartCall, StopCall, RenewCall>;
 
   struct LateCall {
@@ -215,6 +233,7 @@
     std::unique_ptr<Agent> agent;
     Worker worker;
     WorkerLink link = WorkerLink::kUp;
+    int clock_rate_percent = 100;
     /// The agent has received the announcement of the worker's process.
     bool announced = false;
     std::vector<LateCall> late_calls;
@@ -230,6 +249,12 @@
             const PeerLinks::BytesCallback& fn);
   void Deliver(const Address& to, const std::string& path,
                const std::string& bytes, const PeerLinks::BytesCallback& reply);
+  /// Keeps a message to an agent that is cut off.
+  void HoldMessage(const Address& from, const Address& to,
+                   std::function<void()> deliver);
+  void DeliverHeldMessages();
+  /// @return the agent with this address; null if there is none.
+  Agent* FindAgent(const Address& address);
   Entry* FindEntry(size_t entry, uint64_t process);
 
   void StartAgent(size_t vm);
@@ -259,8 +284,8 @@
   CallResult CarryOut(size_t vm, const RenewCall& call);
   void EndRun(Worker& worker, size_t index, RunEnd end);
   void Acknowledge(Worker& worker, uint64_t number);
-  WorkerListing List(const Worker& worker, uint64_t acknowledged) const;
-  MonotonicTime LeaseEnd(const Worker& worker, int64_t lease_until_ms) const;
+  WorkerListing List(size_t vm, uint64_t acknowledged) const;
+  MonotonicTime LeaseEnd(size_t vm, int64_t lease_until_ms) const;
   const StepSpec* FindSpec(const TaskKey& task) const;
   void JoinGang(size_t index);
   void LeaveGang(size_t index);
@@ -274,6 +299,8 @@
   Store store_;
   Metrics metrics_;
   std::set<std::pair<Address, Address>> cut_;
+  Duration message_hold_time_{};
+  std::vector<HeldMessage> held_messages_;
   std::map<Address, StoreLink> store_links_;
   std::vector<std::unique_ptr<Entry>> entries_;
   /// Processes that have ended; their timers refer to them.
