--- a/tests/planner/former_lease_takeover_test.cc
+++ b/tests/planner/former_lease_takeover_test.cc
@@ -25,6 +25,9 @@
 /// Calls that were meant for a former process of this worker have ended.
 constexpr Duration kVeryOldWorker{30'000};
 constexpr Duration kRunTime{100};
+/// A call without an answer may be carried out as late as this.
+constexpr Duration kMaxDelay{12'000};
+constexpr Duration kDelayStep{1'000};
 
 std::string Join(const std::vector<std::string>& lines) {
   std::string out;
@@ -235,6 +238,32 @@
   }
 }
 
+// TWICE: a restarted agent knows no unanswered starts of its former process,
+// and refuses the planner's copy while the worker's next process may begin it.
+TEST_CASE("a restarted agent waits for starts sent by its former process" *
+          doctest::should_fail()) {
+  for (Duration delay{1'000}; delay <= kMaxDelay; delay += kDelayStep) {
+    SimulatedFleet fleet(kEntries, kVms);
+    fleet.Advance(kVeryOldWorker);
+    REQUIRE(fleet.ListPlanners().size() == 1);
+    fleet.SetLateCallDelay(delay);
+    for (size_t vm = 0; vm < kVms; ++vm)
+      fleet.SetWorkerLink(vm, WorkerLink::kCarriedOutLate);
+    Submit(fleet, fleet.ListPlanners()[0], "j");
+    fleet.Advance(Duration(100));
+    const auto called = FindCalledVm(fleet);
+    REQUIRE(called);
+    fleet.RestartAgent(*called, RenewalOnItsWay::kLost);
+    fleet.RestartWorker(*called, RenewalOnItsWay::kLost);
+    fleet.SetWorkerLink(*called, WorkerLink::kUnreachable);
+    fleet.SetWorkerLink(1 - *called, WorkerLink::kUp);
+    fleet.Advance(kMaxDelay + kMaxHold);
+    CAPTURE(delay.count());
+    CAPTURE(Join(fleet.doubled()));
+    CHECK(fleet.doubled().empty());
+  }
+}
+
 // TWICE: the next process of the worker carries out a renewal that acknowledges
 // ends of the former one, and forgets its own end of that number.
 TEST_CASE("a late renewal forgets no end of the worker's next process" *
