--- a/tests/planner/former_lease_takeover_test.cc
+++ b/tests/planner/former_lease_takeover_test.cc
@@ -264,6 +264,32 @@
   }
 }
 
+// TWICE: the agent that left the start unanswered is cut off before it tells of
+// it, and the planner counts on leases alone.
+TEST_CASE("a planner waits for starts that a VM cut off from it left open" *
+          doctest::should_fail()) {
+  for (Duration delay{1'000}; delay <= kMaxDelay; delay += kDelayStep) {
+    SimulatedFleet fleet(kEntries, kVms);
+    fleet.Advance(kVeryOldWorker);
+    REQUIRE(fleet.ListPlanners().size() == 1);
+    fleet.SetLateCallDelay(delay);
+    for (size_t vm = 0; vm < kVms; ++vm)
+      fleet.SetWorkerLink(vm, WorkerLink::kCarriedOutLate);
+    Submit(fleet, fleet.ListPlanners()[0], "j");
+    fleet.Advance(Duration(100));
+    const auto called = FindCalledVm(fleet);
+    REQUIRE(called);
+    CutOffFromEntries(fleet, *called);
+    fleet.RestartWorker(*called, RenewalOnItsWay::kLost);
+    fleet.SetWorkerLink(*called, WorkerLink::kUnreachable);
+    fleet.SetWorkerLink(1 - *called, WorkerLink::kUp);
+    fleet.Advance(kMaxDelay + kMaxHold);
+    CAPTURE(delay.count());
+    CAPTURE(Join(fleet.doubled()));
+    CHECK(fleet.doubled().empty());
+  }
+}
+
 // TWICE: the next process of the worker carries out a renewal that acknowledges
 // ends of the former one, and forgets its own end of that number.
 TEST_CASE("a late renewal forgets no end of the worker's next process" *
