--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -1085,6 +1085,23 @@
   CHECK(Ends(table)[0].end == RunEnd::kLapsed);
 }
 
+// Issue 66, the same class: a renewal that carries no lease counts as one whose
+// lease has ended, so that the log tells of a lease that was never sent.
+TEST_CASE("a renewal without a lease is not counted as a lease that ended" *
+          doctest::should_fail()) {
+  RunTable table;
+  table.life = AgentIncarnation(8);
+  table.started_at = kNow;
+  BeginRegistration(table, kNow);
+  ApplyWorkerHello(table, kNow, Hello());
+  ApplySyncRequest(table, kNow, Request(table));
+  const auto renewal = BeginRenewal(table, kNow);
+  REQUIRE(renewal);
+  REQUIRE(renewal->call.lease_until_ms == 0);
+  ApplyWorkerListing(table, kNow, *renewal, Listing(60'000));
+  CHECK_FALSE(table.leases.sent_until.has_value());
+}
+
 TEST_CASE("renewals that do not reach the worker extend no lease") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
