--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -1102,6 +1102,28 @@
   CHECK_FALSE(table.leases.sent_until.has_value());
 }
 
+// TWICE: the first announcement that a restarted agent gets is a late one of a
+// worker that has left, and makes it forget the leases of its former process.
+TEST_CASE("a late announcement hides no leases from a restarted agent" *
+          doctest::should_fail()) {
+  constexpr int64_t kYoungWorkerMs = 500;
+  RunTable table;
+  table.life = AgentIncarnation(8);
+  table.started_at = kNow;
+  BeginRegistration(table, kNow);
+  ApplyWorkerHello(table, kNow, Hello("left", 50));
+  ApplyWorkerHello(table, kNow, Hello());
+  ApplySyncRequest(table, kNow, Request(table));
+  WorkerListing listing = Listing(kYoungWorkerMs);
+  listing.running = {{kTask, RunNumber(3), "", 40, -1}};
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), listing);
+  CHECK(table.has_former_lease);
+  HandleRenewalFailure(table, kNow, *BeginRenewal(table, kNow),
+                       {CallOutcome::kUnknown, "timeout"});
+  ExpireLeases(table, kNow + kMaxLeaseDuration + Duration(1'000));
+  CHECK(table.runs.contains(kTask));
+}
+
 TEST_CASE("renewals that do not reach the worker extend no lease") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
