--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -1124,6 +1124,43 @@
   CHECK(table.runs.contains(kTask));
 }
 
+// TWICE: lease ends are computed from the latest reading of the worker's clock.
+// The older that is, the later they come on a slow clock.
+TEST_CASE("a restarted agent waits for leases on an old reading of the clock" *
+          doctest::should_fail()) {
+  constexpr Duration kReadingAge{30'000};
+  constexpr int64_t kSlowPercent = 2;
+  const auto on_slow_clock = [](int64_t ms) {
+    return ms * (100 - kSlowPercent) / 100;
+  };
+  RunTable former = Ready();
+  const int64_t read_ms = former.clock_ms;
+  const MonotonicTime restart = kNow + kReadingAge;
+  SyncRequest request = Request(former);
+  request.stamp = AgentTime(restart.time_since_epoch().count());
+  ApplySyncRequest(former, restart, request);
+  const int64_t lease_end_ms =
+      BeginRenewal(former, restart)->call.lease_until_ms;
+
+  RunTable table;
+  table.life = AgentIncarnation(8);
+  table.started_at = restart;
+  BeginRegistration(table, restart);
+  ApplyWorkerHello(table, restart, Hello());
+  request.life = table.life;
+  request.grant_ms = 0;
+  ApplySyncRequest(table, restart, request);
+  WorkerListing listing = Listing(read_ms + on_slow_clock(kReadingAge.count()));
+  listing.running = {{kTask, RunNumber(3), "", 40, -1}};
+  ApplyWorkerListing(table, restart, *BeginRenewal(table, restart), listing);
+  HandleRenewalFailure(table, restart, *BeginRenewal(table, restart),
+                       {CallOutcome::kUnknown, "timeout"});
+  const Duration later = kMaxLeaseDuration + Duration(200);
+  REQUIRE(listing.clock_ms + on_slow_clock(later.count()) < lease_end_ms);
+  ExpireLeases(table, restart + later);
+  CHECK(table.runs.contains(kTask));
+}
+
 TEST_CASE("renewals that do not reach the worker extend no lease") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
