--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -1085,6 +1085,82 @@
   CHECK(Ends(table)[0].end == RunEnd::kLapsed);
 }
 
+// Issue 66, the same class: a renewal that carries no lease counts as one whose
+// lease has ended, so that the log tells of a lease that was never sent.
+TEST_CASE("a renewal without a lease is not counted as a lease that ended" *
+          doctest::should_fail()) {
+  RunTable table;
+  table.life = AgentIncarnation(8);
+  table.started_at = kNow;
+  BeginRegistration(table, kNow);
+  ApplyWorkerHello(table, kNow, Hello());
+  ApplySyncRequest(table, kNow, Request(table));
+  const auto renewal = BeginRenewal(table, kNow);
+  REQUIRE(renewal);
+  REQUIRE(renewal->call.lease_until_ms == 0);
+  ApplyWorkerListing(table, kNow, *renewal, Listing(60'000));
+  CHECK_FALSE(table.leases.sent_until.has_value());
+}
+
+// TWICE: the first announcement that a restarted agent gets is a late one of a
+// worker that has left, and makes it forget the leases of its former process.
+TEST_CASE("a late announcement hides no leases from a restarted agent" *
+          doctest::should_fail()) {
+  constexpr int64_t kYoungWorkerMs = 500;
+  RunTable table;
+  table.life = AgentIncarnation(8);
+  table.started_at = kNow;
+  BeginRegistration(table, kNow);
+  ApplyWorkerHello(table, kNow, Hello("left", 50));
+  ApplyWorkerHello(table, kNow, Hello());
+  ApplySyncRequest(table, kNow, Request(table));
+  WorkerListing listing = Listing(kYoungWorkerMs);
+  listing.running = {{kTask, RunNumber(3), "", 40, -1}};
+  ApplyWorkerListing(table, kNow, *BeginRenewal(table, kNow), listing);
+  CHECK(table.has_former_lease);
+  HandleRenewalFailure(table, kNow, *BeginRenewal(table, kNow),
+                       {CallOutcome::kUnknown, "timeout"});
+  ExpireLeases(table, kNow + kMaxLeaseDuration + Duration(1'000));
+  CHECK(table.runs.contains(kTask));
+}
+
+// TWICE: lease ends are computed from the latest reading of the worker's clock.
+// The older that is, the later they come on a slow clock.
+TEST_CASE("a restarted agent waits for leases on an old reading of the clock" *
+          doctest::should_fail()) {
+  constexpr Duration kReadingAge{30'000};
+  constexpr int64_t kSlowPercent = 2;
+  const auto on_slow_clock = [](int64_t ms) {
+    return ms * (100 - kSlowPercent) / 100;
+  };
+  RunTable former = Ready();
+  const int64_t read_ms = former.clock_ms;
+  const MonotonicTime restart = kNow + kReadingAge;
+  SyncRequest request = Request(former);
+  request.stamp = AgentTime(restart.time_since_epoch().count());
+  ApplySyncRequest(former, restart, request);
+  const int64_t lease_end_ms =
+      BeginRenewal(former, restart)->call.lease_until_ms;
+
+  RunTable table;
+  table.life = AgentIncarnation(8);
+  table.started_at = restart;
+  BeginRegistration(table, restart);
+  ApplyWorkerHello(table, restart, Hello());
+  request.life = table.life;
+  request.grant_ms = 0;
+  ApplySyncRequest(table, restart, request);
+  WorkerListing listing = Listing(read_ms + on_slow_clock(kReadingAge.count()));
+  listing.running = {{kTask, RunNumber(3), "", 40, -1}};
+  ApplyWorkerListing(table, restart, *BeginRenewal(table, restart), listing);
+  HandleRenewalFailure(table, restart, *BeginRenewal(table, restart),
+                       {CallOutcome::kUnknown, "timeout"});
+  const Duration later = kMaxLeaseDuration + Duration(200);
+  REQUIRE(listing.clock_ms + on_slow_clock(later.count()) < lease_end_ms);
+  ExpireLeases(table, restart + later);
+  CHECK(table.runs.contains(kTask));
+}
+
 TEST_CASE("renewals that do not reach the worker extend no lease") {
   RunTable table = Ready();
   Order(table, {Start(kTask, 1)});
