Name the longest delay of a call once, for agents and planners

Cause: the planner's bound for a late run repeated the agent's figures as numbers. Change: kMaxCallDelay and kDefaultMaxWorkerLease move to sched/worker.h; a planner's bound is made of them, and never shortens one that an agent has reported.

--- a/source/agent/former_lease.h
+++ b/source/agent/former_lease.h
@@ -9,9 +9,6 @@
 
 namespace almondtally::sched::detail {
 
-/// A call without an answer may be carried out as late as this.
-inline constexpr Duration kMaxCallDelay{15'000};
-
 /// Notes the lease end of a call that the worker has not answered.
 /// @param lease_until_ms on the worker's clock; 0 if the call carried none.
 void RecordUnansweredLease(RunTable& table, MonotonicTime now,
--- a/source/agent/registration.cc
+++ b/source/agent/registration.cc
@@ -61,7 +61,7 @@
   table.awaits_registration = true;
   detail::AssumeFormerAgent(table, now);
   table.leases.inherited_until = now + kMaxLeaseDuration;
-  table.earlier_starts_arrive_by = now + detail::kMaxCallDelay;
+  table.earlier_starts_arrive_by = now + kMaxCallDelay;
 }
 
 RegistrationStep NextRegistrationStep(const Registration& registration,
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -16,8 +16,6 @@
 
 namespace almondtally::sched {
 
-inline constexpr Duration kDefaultMaxWorkerLease{10'000};
-
 /// One run on this VM.
 struct AgentRun {
   StartOrder order;
--- a/source/sched/reports.cc
+++ b/source/sched/reports.cc
@@ -31,7 +31,9 @@
 constexpr Duration kLongestLateRun{60'000};
 /// A start call without an answer begins its run by then, and the longest lease
 /// of a worker has ended.
-constexpr Duration kLateRunTime{15'000 + 10'300};
+constexpr Duration kLateRunTime =
+    kMaxCallDelay + kDefaultMaxWorkerLease +
+    kDefaultMaxWorkerLease * kClockDriftPercent / 100;
 /// Delay before a lasting task that failed is restarted.
 constexpr Duration kLastingRestartDelay{50};
 
@@ -448,7 +450,7 @@
     const bool may_be_called =
         run.seen || run.start_batch != 0 || run.maybe_sent;
     if (run.phase == RunPhase::kStarting && may_be_called)
-      run.late_run_until = now + kLateRunTime;
+      run.late_run_until = std::max(run.late_run_until, now + kLateRunTime);
   }
 }
 
--- a/source/sched/worker.h
+++ b/source/sched/worker.h
@@ -76,6 +76,12 @@
   bool complete = true;
 };
 
+/// A call without an answer may be carried out as late as this.
+inline constexpr Duration kMaxCallDelay{15'000};
+
+/// Longest lease that a worker gives unless it is configured otherwise.
+inline constexpr Duration kDefaultMaxWorkerLease{10'000};
+
 /// Parameters of every call to a worker: the recipient and the caller's
 /// authority.
 struct WorkerCall {
--- a/tests/agent/registration_test.cc
+++ b/tests/agent/registration_test.cc
@@ -185,7 +185,7 @@
     "a VM does not say that it is drained while earlier starts may arrive") {
   LeavingAgent it;
   it.RecordEnds();
-  it.table.earlier_starts_arrive_by = kNow + detail::kMaxCallDelay;
+  it.table.earlier_starts_arrive_by = kNow + kMaxCallDelay;
   const auto list = [&](MonotonicTime now) {
     it.table.last_grant_at = now;
     WorkerListing listing;
@@ -193,10 +193,10 @@
     listing.born_ms = kBornMs;
     ApplyWorkerListing(it.table, now, *BeginRenewal(it.table, now), listing);
   };
-  list(kNow + detail::kMaxCallDelay);
-  CHECK(it.Next(kNow + detail::kMaxCallDelay) == RegistrationStep::kNone);
-  list(kNow + detail::kMaxCallDelay + Duration(1));
-  CHECK(it.Next(kNow + detail::kMaxCallDelay + Duration(1)) ==
+  list(kNow + kMaxCallDelay);
+  CHECK(it.Next(kNow + kMaxCallDelay) == RegistrationStep::kNone);
+  list(kNow + kMaxCallDelay + Duration(1));
+  CHECK(it.Next(kNow + kMaxCallDelay + Duration(1)) ==
         RegistrationStep::kWriteRow);
 }
 
--- a/tests/agent/run_table_test.cc
+++ b/tests/agent/run_table_test.cc
@@ -1087,8 +1087,7 @@
 
 // Issue 66, the same class: a renewal that carries no lease counts as one whose
 // lease has ended, so that the log tells of a lease that was never sent.
-TEST_CASE("a renewal without a lease is not counted as a lease that ended" *
-          doctest::should_fail()) {
+TEST_CASE("a renewal without a lease is not counted as a lease that ended") {
   RunTable table;
   table.life = AgentIncarnation(8);
   table.started_at = kNow;
--- a/tests/planner/former_lease_takeover_test.cc
+++ b/tests/planner/former_lease_takeover_test.cc
@@ -294,8 +294,7 @@
 
 // TWICE: a restarted agent knows no unanswered starts of its former process,
 // and refuses the planner's copy while the worker's next process may begin it.
-TEST_CASE("a restarted agent waits for starts sent by its former process" *
-          doctest::should_fail()) {
+TEST_CASE("a restarted agent waits for starts sent by its former process") {
   for (Duration delay{1'000}; delay <= kMaxDelay; delay += kDelayStep) {
     SimulatedFleet fleet(kEntries, kVms);
     fleet.Advance(kVeryOldWorker);
